--- /dev/null
+++ b/src/drill/main.cpp
@@ -0,0 +1,298 @@
+// elmcleat_drill: the decision module on the simulator's wire. Lines come in on standard input and become
+// calls on the module; its answers are written straight to standard output. Nothing is decided here.
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <iostream>
+#include <map>
+#include <set>
+#include <stdexcept>
+#include <unordered_map>
+
+#include "policy.h"
+#include "settings.h"
+
+namespace elmcleat::drill {
+namespace {
+
+using Rows = std::vector<NodeRow>;
+
+template <typename T>
+T named(const std::string& word, std::initializer_list<std::pair<const char*, T>> words) {
+  for (auto& [name, value] : words)
+    if (word == name) return value;
+  throw std::invalid_argument("unknown word '" + word + "'");
+}
+
+Outcome readOutcome(const std::string& word) {
+  return named<Outcome>(word, {{"delivered", Outcome::answered},
+                               {"app_error", Outcome::error},
+                               {"shed", Outcome::full},
+                               {"expired", Outcome::expired},
+                               {"dial_failed", Outcome::connectFailed},
+                               {"dropped", Outcome::reset},
+                               {"revoked", Outcome::cancelled},
+                               {"unused", Outcome::unused}});
+}
+
+std::optional<Report> readReport(const Json& event) {
+  auto usage = event.find("usage");
+  if (usage == event.end() || usage->is_null()) return std::nullopt;
+  auto figure = [&](const char* name) {
+    auto found = usage->find(name);
+    return found == usage->end() || found->is_null() ? std::nullopt : std::optional(found->get<double>());
+  };
+  return Report{figure("concurrent"), figure("depth"), figure("load_share"), figure("x0"), figure("x1")};
+}
+
+uint64_t readHex(const std::string& text) {
+  uint64_t value = 0;
+  auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
+  if (fault != std::errc() || end != text.data() + text.size())
+    throw std::invalid_argument("'" + text + "' is not a hexadecimal id");
+  return value;
+}
+
+Rows readRows(const Json& lines) {
+  Rows rows;
+  for (auto& line : lines) {
+    NodeRow row;
+    row.id = line.at("node").get<uint32_t>();
+    row.zone = field<std::string>(line, "rackZone", "");
+    row.kind = field<std::string>(line, "type", "");
+    row.cell = field(line, "unitGroup", 0);
+    row.state = named<NodeState>(field<std::string>(line, "condition", "in_service"),
+                                 {{"in_service", NodeState::inService},
+                                  {"terminating", NodeState::draining},
+                                  {"terminated", NodeState::gone}});
+    if (double started = seconds(line, "bootTimeUs"); started > 0) row.startedAt = started;
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+// One instance: the module behind the ids of the wire.
+class Instance : public Outlet {
+ public:
+  Instance(int who, const Json& event, double now) : who_(who), now_(now) {
+    gateway_ = openGateway(readSettings(event.at("config")), event.at("initSeed").get<uint64_t>(), *this);
+  }
+
+  void happen(const std::string& kind, const Json& event, const std::map<int, Rows>& pages, double now) {
+    now_ = now;
+    gateway_->at(now);
+    if (kind == "INBOUND")
+      take(event);
+    else if (kind == "RESPONSE")
+      respond(event);
+    else if (kind == "INTERIM")
+      note(event);
+    else if (kind == "OPENED") {
+      if (auto* held = find(event)) held->command->opened();
+    } else if (kind == "WITHDRAWN")
+      withdraw(event);
+    else if (kind == "ENDPOINTS")
+      list(event, pages);
+    else if (kind == "SAMPLED") {
+      auto report = readReport(event);
+      gateway_->probed(event.at("node").get<uint32_t>(), readOutcome(event.at("result").get<std::string>()),
+                       report ? &*report : nullptr);
+    }
+  }
+  void settle() { gateway_->settle(); }
+
+  void send(Command& command, uint32_t node, double timeout) override {
+    Held& held = live_.at(ids_.at(&command));
+    ++held.out;
+    write("ROUTE", {{"rid", ids_.at(&command)}, {"maxWaitUs", micros(timeout)}, {"node", node}});
+  }
+  void terms(Command& command, int priority, double memoryMb) override {
+    write("RESOURCES", {{"rid", ids_.at(&command)}, {"rank", priority}, {"memory", memoryMb}});
+  }
+  void cancel(Command& command, int sendNo) override {
+    write("STOP_ATTEMPT", {{"rid", ids_.at(&command)}, {"roundNo", sendNo}});
+  }
+  void shed(Command& command, double retryAfter) override {
+    write("NOT_NOW", {{"rid", ids_.at(&command)}, {"holdOffUs", micros(retryAfter)}});
+    finish(command);
+  }
+  void fail(Command& command) override {
+    write("FAIL", {{"rid", ids_.at(&command)}});
+    finish(command);
+  }
+  void probe(uint32_t node) override { write("TOUCH", {{"node", node}}); }
+  void followList() override { write("OBSERVE", {{"want", true}}); }
+  void wake(double at) override {
+    write("SET_ALARM", {{"alarmTimeUs", std::max(micros(at), micros(now_))}, {"name", "wake"}});
+  }
+  void log(const std::string& line) override { write("JOURNAL_LINE", {{"line", line}}); }
+  void giveIn(const std::string& why) { write("GIVE_IN", {{"line", why}}); }
+
+ private:
+  struct Held {
+    std::shared_ptr<Command> command;
+    int out = 0;  // sends without an outcome
+    bool over = false;
+  };
+
+  static int64_t micros(double time) { return std::llround(time * 1e6); }
+
+  void write(const char* kind, Json message) {
+    message["kind"] = kind;
+    message["who"] = who_;
+    std::cout << message.dump() << '\n';
+  }
+
+  Held* find(const Json& event) {
+    auto found = live_.find(event.at("rid").get<std::string>());
+    return found == live_.end() ? nullptr : &found->second;
+  }
+  void drop(Held& held) {
+    if (!held.over || held.out > 0) return;
+    auto id = ids_.find(held.command.get());
+    std::string rid = std::move(id->second);
+    ids_.erase(id);
+    live_.erase(rid);
+  }
+  void finish(Command& command) { live_.at(ids_.at(&command)).over = true, ended_.push_back(&command); }
+  void sweep() {  // forget what was ended by the module's own answer
+    for (Command* command : ended_)
+      if (auto id = ids_.find(command); id != ids_.end()) drop(live_.at(id->second));
+    ended_.clear();
+  }
+
+  void take(const Json& event) {
+    sweep();
+    Arrival arrival;
+    arrival.profile = event.at("profile").get<std::string>();
+    if (auto tenant = event.find("billing"); tenant != event.end() && tenant->is_string())
+      arrival.tenant = tenant->get<std::string>();
+    arrival.tables = field<uint64_t>(event, "dataGroup", 0);
+    if (auto key = field<std::string>(event, "table", ""); !key.empty()) arrival.key = readHex(key);
+    arrival.work = seconds(event, "costUs");
+    arrival.memoryMb = field(event, "needMb", 0.0);
+    arrival.timeLeft = seconds(event, "expiresInUs");
+    auto rid = event.at("rid").get<std::string>();
+    auto command = gateway_->take(arrival);
+    ids_.emplace(command.get(), rid);
+    live_[rid].command = std::move(command);
+  }
+  void respond(const Json& event) {
+    Held* held = find(event);
+    if (!held) return;
+    auto report = readReport(event);
+    std::optional<Bill> bill;
+    if (auto used = field<int64_t>(event, "usedUp", 0); used > 0)
+      bill = Bill{static_cast<double>(used / 4096) / 1e3, static_cast<double>(used % 4096) * 4};
+    bool final = field(event, "final", false);
+    --held->out;
+    held->over |= final;
+    held->command->outcome(readOutcome(event.at("result").get<std::string>()), seconds(event, "timeTakenUs"),
+                           final, bill ? &*bill : nullptr, report ? &*report : nullptr);
+    drop(*held);
+  }
+  void note(const Json& event) {
+    Held* held = find(event);
+    if (!held) return;
+    int topic = event.at("topic").get<int>();
+    if (topic < 1 || topic > 3) return;
+    static constexpr Topic topics[] = {Topic::progress, Topic::spills, Topic::waits};
+    held->command->note(topics[topic - 1], field(event, "level", 0.0));
+  }
+  void withdraw(const Json& event) {
+    Held* held = find(event);
+    if (!held) return;
+    if (!held->over) held->command->withdrawn();
+    held->over = true;
+    drop(*held);
+  }
+  void list(const Json& event, const std::map<int, Rows>& pages) {
+    auto kind = named<ListKind>(event.at("scope").get<std::string>(), {{"diff", ListKind::changes},
+                                                                       {"snapshot", ListKind::full},
+                                                                       {"disk", ListKind::full},
+                                                                       {"error", ListKind::error}});
+    static const Rows none;
+    gateway_->list(kind, kind == ListKind::error ? none : pages.at(event.at("page").get<int>()));
+  }
+
+  int who_;
+  double now_;
+  std::unique_ptr<Gateway> gateway_;
+  std::unordered_map<std::string, Held> live_;
+  std::unordered_map<const Command*, std::string> ids_;
+  std::vector<Command*> ended_;
+};
+
+class Drill {
+ public:
+  void line(const std::string& text) {
+    Json event = Json::parse(text);
+    auto kind = event.at("kind").get<std::string>();
+    if (kind == "FRAME")
+      now_ = event.at("tUs").get<double>() / 1e6;
+    else if (kind == "EOB")
+      endBatch();
+    else if (kind == "SNAPSHOT_ROWS")
+      pages_[event.at("page").get<int>()] = readRows(event.at("lines"));
+    else {
+      int who = event.at("who").get<int>();
+      guarded(who, [&] {
+        if (kind == "NEW_INSTANCE")
+          instances_[who] = std::make_unique<Instance>(who, event, now_);
+        else if (kind == "CRASH_NOW")
+          instances_.erase(who), touched_.erase(who);
+        if (auto found = instances_.find(who); found != instances_.end()) {
+          touched_.insert(who);
+          found->second->happen(kind, event, pages_, now_);
+        }
+      });
+    }
+  }
+
+ private:
+  // What is wrong with the input ends the drill; a fault of the module is told to the simulator.
+  template <typename Act>
+  void guarded(int who, Act act) {
+    try {
+      act();
+    } catch (const Json::exception&) {
+      throw;
+    } catch (const std::invalid_argument&) {
+      throw;
+    } catch (const std::exception& fault) {
+      Json line = {{"kind", "GIVE_IN"}, {"who", who}, {"line", fault.what()}};
+      std::cout << line.dump() << '\n';
+    }
+  }
+  void endBatch() {
+    for (int who : touched_) guarded(who, [&] { instances_.at(who)->settle(); });
+    touched_.clear();
+    std::cout << "{\"kind\":\"NEXT\"}\n" << std::flush;
+  }
+
+  double now_ = 0;
+  std::map<int, Rows> pages_;
+  std::map<int, std::unique_ptr<Instance>> instances_;
+  std::set<int> touched_;
+};
+
+}  // namespace
+}  // namespace elmcleat::drill
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  elmcleat::drill::Drill drill;
+  std::string text;
+  long number = 0;
+  while (std::getline(std::cin, text)) {
+    ++number;
+    if (text.empty()) continue;
+    try {
+      drill.line(text);
+    } catch (const std::exception& fault) {
+      std::cerr << "elmcleat_drill: line " << number << ": " << fault.what() << '\n';
+      return 1;
+    }
+  }
+  return 0;
+}
