--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -32,11 +32,13 @@
 constexpr double kUtilisationCut = 0.85;
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait
 constexpr double kFar = 2.0;                           // latency this many times the best shows pressure
+constexpr double kRatioCap = 4.0;       // a single latency counts as no more, so that a bad plan says little
 constexpr double kPressureHold = 1.0;                  // pressure lasts at least this long
-constexpr double kMarkFall = 0.92, kMarkRise = 1.04, kMarkFloor = 0.35;  // how a node's mark moves, a sweep
+constexpr double kMarkFall = 0.8, kMarkRise = 1.04;  // how a node's mark moves, a sweep
 constexpr double kBand = 0.5;       // threads a core that the first in rank may stand above the least loaded
 constexpr double kFarZone = 0.75;   // the same, for nodes that cost a crossing
-constexpr double kSweep = 0.05;     // time between sweeps
+constexpr double kSweep = 0.05;   // time between sweeps
+constexpr double kClock = 1e-6;   // the clock of the wire is no finer
 constexpr double kQuantum = 0.05;   // seconds of work that a turn pays for, at an average share
 constexpr double kMemoryUse = 0.9;  // part of a node's memory to fill
 constexpr double kGrantSpare = 1.15;   // grant over the corrected estimate
@@ -225,6 +227,7 @@
   void again(Cmd& cmd);
   bool mayGoAgain(const Cmd& cmd);
   double worthNow(const Cmd& cmd) const;
+  bool hopeless(const Cmd& cmd) const;
   // sweeps
   void sweep();
   void judge(Node& node);
@@ -252,6 +255,7 @@
   std::map<uint64_t, KeyLine> keys;
   Turn root;
   std::vector<std::shared_ptr<Cmd>> held;
+  size_t fresh = 0;  // from here on, held commands that no sweep has looked at
   TimeRing taken{20}, done{3}, further{1}, takenInSpan{1};
   double usualRun = 0;
 };
@@ -306,11 +310,10 @@
   if (cmd->key) {
     auto& line = keys[*cmd->key].line;
     line.push_back(cmd);
-    held.push_back(cmd);
   } else {
     hold(*cmd, false);
-    held.push_back(cmd);
   }
+  held.push_back(cmd);
   return cmd;
 }
 
@@ -385,6 +388,11 @@
   return cmd.worth * late;
 }
 
+bool Core::hopeless(const Cmd& cmd) const {
+  double left = cmd.timeoutAt - now;
+  return left < 2 * kSweep || left < 0.8 * cmd.atRest() || worthNow(cmd) <= 0;
+}
+
 bool Core::mayGoAgain(const Cmd& cmd) {
   const Profile& profile = cmd.profile();
   if (overload || cmd.sends > kFurther || cmd.sends >= set.maxSends || cmd.streaming) return false;
@@ -458,7 +466,7 @@
     }
   }
   if (what == Outcome::answered) core.learn(*this, took, bill);
-  if (what == Outcome::answered && !ownTrial) was.took.add(core.now, took), was.rest.add(core.now, atRest());
+  if (what == Outcome::answered && !ownTrial) was.took.add(core.now, std::min(took, kRatioCap * atRest())), was.rest.add(core.now, atRest());
   core.seeReport(was, report);
   avoid = &was;
   if (final || over) {
@@ -710,18 +718,18 @@
       node.probeOut = true, out.probe(node.id);
     return;
   }
-  double fails = node.fails.sum(now), oks = node.oks.sum(now), otherFails = 0, otherOks = 0;
+  double fails = node.fails.sum(now), oks = node.oks.sum(now), otherFails = 0, otherOks = 0, usual = 1;
   for (auto& [id, other] : nodes)
     if (other.get() != &node && !other->resting)
-      otherFails += other->fails.sum(now), otherOks += other->oks.sum(now);
+      otherFails += other->fails.sum(now), otherOks += other->oks.sum(now), usual = std::max(usual, other->stretch);
   double share = fails / std::max(fails + oks, 1.0);
   double others = otherFails / std::max(otherFails + otherOks, 1.0);
   if (fails >= 3 && share > 0.2 && share > 3 * others) return rest(node, "it fails", share, others);
   double quiet = now - node.lastLife;
   long overdue = std::count_if(node.out.begin(), node.out.end(), [&](Cmd* cmd) {
-    return now - cmd->sentAt > 0.2 + 1.5 * cmd->atRest() * std::clamp(node.stretch, 1.0, 4.0);
+    return now - cmd->sentAt > 0.5 + 3 * cmd->atRest() * std::clamp(usual, 1.0, 4.0);
   });
-  if (overdue < 1 || quiet < std::max(0.3, (overdue > 1 ? 6 : 10) * node.gap)) return;
+  if (overdue < 1 || quiet < std::max(0.5, 10 * node.gap)) return;
   int lively = 0, busy = 0;
   for (auto& [id, other] : nodes) {
     if (other.get() == &node || other->out.empty() || other->resting) continue;
@@ -740,14 +748,14 @@
   double took = node.took.sum(now), atRest = node.rest.sum(now);
   for (Cmd* cmd : node.out) {  // what is overdue tells before it ends
     double elapsed = now - cmd->sentAt, rest = cmd->atRest();
-    if (elapsed > kFar * rest) took += elapsed, atRest += rest;
+    if (elapsed > kFar * rest) took += std::min(elapsed, kRatioCap * rest), atRest += rest;
   }
   node.stretch = atRest > 0 ? took / atRest : 1;
   bool far = node.stretch > kFar && !node.resting;
   if (far) press(node);
   if (!node.pressed) return;
   if (far && node.threads > 0)
-    node.limit = std::max(kMarkFloor, node.limit * kMarkFall);
+    node.limit = std::max(1.0, node.limit * kMarkFall);
   else if (now > node.pressedUntil - kPressureHold / 2)
     node.limit *= kMarkRise;
   if (now > node.pressedUntil && node.limit > 2.0 * set.gateways) node.pressed = false;
@@ -761,10 +769,10 @@
   for (auto& cmd : held)
     if (!cmd->over && !cmd->node) waiting.push_back(cmd);
   held = waiting;
+  fresh = held.size();
   double backlog = 0, slack = 0;
   for (auto& cmd : waiting) {
-    double left = cmd->timeoutAt - now;
-    if (left < 0.1 || left < 0.8 * cmd->atRest() || worthNow(*cmd) <= 0) {
+    if (hopeless(*cmd)) {
       end(*cmd);
       continue;
     }
@@ -814,14 +822,16 @@
 }
 
 void Core::wakeAt(double time) {
-  if (nextWake > now && nextWake <= time) return;
+  if (nextWake > now + kClock && nextWake <= time) return;
   nextWake = time;
   out.wake(time);
 }
 
 void Core::settle() {
   if (askAt >= 0 && now >= askAt) askAt = -1, out.followList();
-  if (now >= nextSweep) nextSweep = now + kSweep, sweep();
+  if (now >= nextSweep - kClock) nextSweep = now + kSweep, sweep();
+  for (; fresh < held.size(); ++fresh)
+    if (!held[fresh]->over && hopeless(*held[fresh])) end(*held[fresh]);
   releaseKeys();
   double first = -1;
   while (Turn* turn = root.next(now)) {
