Make memory a hard bound of a place; no early time-out under pressure without cancel

Cause: starts by chance overfilled engines' memory (paging), and time-outs left work running beside its successor. Also meets any slowdown under which time-outs would feed the load; may hurt when a node falls silent just while under pressure, since its sends then wait for the client timeout.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -212,7 +212,8 @@
   double share() const { return 1.0 / std::max(1, set.gateways); }
   double cold(const Node& node) const { return node.startedAt && now < *node.startedAt + set.coldTime; }
   double load(const Node& node) const { return node.threads / node.cores / std::min(1.0, node.limit); }
-  double fill(const Node& node, const Cmd& cmd) const;
+  double fill(const Node& node) const;
+  bool fits(const Node& node, const Cmd& cmd) const;
   bool holdsGroup(const Node& node, const Cmd& cmd) const;
   bool allowed(Node& node, const Cmd& cmd);
   Node* pick(Cmd& cmd);
@@ -566,14 +567,14 @@
     rest(node, "probe failed", 0, kTrials);
 }
 
-double Core::fill(const Node& node, const Cmd& cmd) const {  // part of its place that our load takes
-  double use = node.threads / node.cores / (kMark * share() * node.limit);
-  if (node.memoryMb > 0) {  // memory is short in one step, so it counts as it would be after the start
-    double part = std::min(1.0, share() * std::max(1.0, node.limit));
-    double full = (node.memory + cmd.memory) / (node.memoryMb * kMemoryUse * part);
-    if (node.memory > 0 && full > 1) use = std::max(use, full);
-  }
-  return use;
+double Core::fill(const Node& node) const {  // part of its place that our load takes
+  return node.threads / node.cores / (kMark * share() * node.limit);
+}
+
+bool Core::fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
+  double part = node.pressed ? std::min(1.0, share() * node.limit) : 1.0;
+  return node.memoryMb <= 0 || node.memory <= 0 ||
+         node.memory + cmd.memory <= node.memoryMb * kMemoryUse * part;
 }
 
 bool Core::holdsGroup(const Node& node, const Cmd& cmd) const {
@@ -606,7 +607,7 @@
     double budget = set.fallMultiple * set.coldFrom * kSafeCapacity * node.cores * set.fallTime * share();
     if (node.coldWork.sum(now) + std::max(cmd.work, cmd.row.usualWork) > budget) return false;
   }
-  return !holdsGroup(node, cmd);
+  return fits(node, cmd) && !holdsGroup(node, cmd);
 }
 
 // The least-loaded engine, or rather the first in its group's rank that stands not far above it. Nodes with a
@@ -624,7 +625,7 @@
     double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone * share() : 0;
     if (node->resting) extra -= 1e6;  // a trial that is due is taken
     if (node.get() == cmd.avoid) extra += 1e6;
-    bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
+    bool place = !node->pressed || fill(*node) < 1 || now < node->idleUntil;
     anyPlace |= place;
     double rank = mix(id, cmd.tables);
     choices.push_back({node.get(), load(*node) + extra, cmd.profile().load ? -rank : rank, place});
@@ -645,7 +646,7 @@
   Node* node = pick(cmd);
   if (!node) return false;
   if (node->pressed && now >= node->idleUntil) {
-    double use = fill(*node, cmd);
+    double use = fill(*node);
     if (use >= 1 && chance.unit() >= 2 - use) return false;
   }
   send(cmd, *node);
@@ -658,7 +659,7 @@
   if (profile.effect == Effect::nonReplayable || last) return 0;
   double usual = cmd.atRest() * std::clamp(node.stretch, 1.0, 6.0);
   if (set.cancel) return 3 * usual + 0.1;  // stopping frees the node, so a bad plan is cut early
-  if (overload) return 0;
+  if (overload || node.pressed) return 0;  // it would run on beside its successor
   return std::max({3 * usual, cmd.targetAt - now - 1.5 * usual, 0.3});
 }
 
