--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -81,18 +81,13 @@
   void happen(const std::string& kind, const Json& event, const std::map<int, Rows>& pages, double now) {
     now_ = now;
     gateway_->at(now);
-    if (kind == "INBOUND")
-      take(event);
-    else if (kind == "RESPONSE")
-      respond(event);
-    else if (kind == "INTERIM")
-      note(event);
+    if (kind == "INBOUND") take(event);
+    else if (kind == "RESPONSE") respond(event);
+    else if (kind == "INTERIM") note(event);
     else if (kind == "OPENED") {
       if (auto* held = find(event)) held->command->opened();
-    } else if (kind == "WITHDRAWN")
-      withdraw(event);
-    else if (kind == "ENDPOINTS")
-      list(event, pages);
+    } else if (kind == "WITHDRAWN") withdraw(event);
+    else if (kind == "ENDPOINTS") list(event, pages);
     else if (kind == "SAMPLED") {
       auto report = readReport(event);
       gateway_->probed(event.at("node").get<uint32_t>(), readOutcome(event.at("result").get<std::string>()),
@@ -228,19 +223,14 @@
   void line(const std::string& text) {
     Json event = Json::parse(text);
     auto kind = event.at("kind").get<std::string>();
-    if (kind == "FRAME")
-      now_ = event.at("tUs").get<double>() / 1e6;
-    else if (kind == "EOB")
-      endBatch();
-    else if (kind == "SNAPSHOT_ROWS")
-      pages_[event.at("page").get<int>()] = readRows(event.at("lines"));
+    if (kind == "FRAME") now_ = event.at("tUs").get<double>() / 1e6;
+    else if (kind == "EOB") endBatch();
+    else if (kind == "SNAPSHOT_ROWS") pages_[event.at("page").get<int>()] = readRows(event.at("lines"));
     else {
       int who = event.at("who").get<int>();
       guarded(who, [&] {
-        if (kind == "NEW_INSTANCE")
-          instances_[who] = std::make_unique<Instance>(who, event, now_);
-        else if (kind == "CRASH_NOW")
-          instances_.erase(who), touched_.erase(who);
+        if (kind == "NEW_INSTANCE") instances_[who] = std::make_unique<Instance>(who, event, now_);
+        else if (kind == "CRASH_NOW") instances_.erase(who), touched_.erase(who);
         if (auto found = instances_.find(who); found != instances_.end()) {
           touched_.insert(who);
           found->second->happen(kind, event, pages_, now_);
@@ -255,9 +245,7 @@
   void guarded(int who, Act act) {
     try {
       act();
-    } catch (const Json::exception&) {
-      throw;
-    } catch (const std::invalid_argument&) {
+    } catch (const Json::exception&) { throw; } catch (const std::invalid_argument&) {
       throw;
     } catch (const std::exception& fault) {
       Json line = {{"kind", "GIVE_IN"}, {"who", who}, {"line", fault.what()}};
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -30,15 +30,17 @@
 // -------------------------------------------------------------------------------------------
 constexpr double kMark = 2.0;  // threads a core, all gateways together
 constexpr double kUtilisationCut = 0.85;
-constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait
-constexpr double kFar = 2.0;                           // latency this many times the best shows pressure
-constexpr double kRatioCap = 4.0;       // a single latency counts as no more, so that a bad plan says little
-constexpr double kPressureHold = 1.0;                  // pressure lasts at least this long
+constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work
+constexpr double kWaitLeast = 0.2,
+                 kWaitMost = 3;        // the wait grows with the work, so that draws are paid as turns are
+constexpr double kFar = 2.0;           // latency this many times the best shows pressure
+constexpr double kRatioCap = 4.0;      // a single latency counts as no more, so that a bad plan says little
+constexpr double kPressureHold = 1.0;  // pressure lasts at least this long
 constexpr double kMarkFall = 0.8, kMarkRise = 1.04;  // how a node's mark moves, a sweep
 constexpr double kBand = 0.5;       // threads a core that the first in rank may stand above the least loaded
 constexpr double kFarZone = 0.75;   // the same, for nodes that cost a crossing
-constexpr double kSweep = 0.05;   // time between sweeps
-constexpr double kClock = 1e-6;   // the clock of the wire is no finer
+constexpr double kSweep = 0.05;     // time between sweeps
+constexpr double kClock = 1e-6;     // the clock of the wire is no finer
 constexpr double kQuantum = 0.05;   // seconds of work that a turn pays for, at an average share
 constexpr double kMemoryUse = 0.9;  // part of a node's memory to fill
 constexpr double kGrantSpare = 1.15;   // grant over the corrected estimate
@@ -148,6 +150,7 @@
   double pressedUntil = -1, idleUntil = -1;
   bool pressed = false;
   double lastLife = 0, gap = 0.1;  // last sign of life, usual time between two
+  long lost = 0;                   // sends timed out since then
   bool resting = false;
   double restUntil = 0, restTime = kRestFirst, wellSince = 0;
   int trials = 0;
@@ -210,9 +213,13 @@
   void learn(Cmd& cmd, double took, const Bill* bill);
   // engines
   double share() const { return 1.0 / std::max(1, set.gateways); }
-  double cold(const Node& node) const { return node.startedAt && now < *node.startedAt + set.coldTime; }
-  double load(const Node& node) const { return node.threads / node.cores / std::min(1.0, node.limit); }
-  double fill(const Node& node) const;
+  bool cold(const Node& node) const { return node.startedAt && now < *node.startedAt + set.coldTime; }
+  double load(const Node& node) const { return node.threads / able(node); }
+  double able(const Node& node) const {  // cores; of a cold node the part that it surely has by now
+    double age = cold(node) ? (now - *node.startedAt) / set.coldTime : 1;
+    return node.cores * (set.coldFrom + (1 - set.coldFrom) * std::clamp(age, 0.0, 1.0));
+  }
+  double fill(const Node& node, const Cmd& cmd) const;
   bool fits(const Node& node, const Cmd& cmd) const;
   bool holdsGroup(const Node& node, const Cmd& cmd) const;
   bool allowed(Node& node, const Cmd& cmd);
@@ -258,7 +265,7 @@
   std::vector<std::shared_ptr<Cmd>> held;
   size_t fresh = 0;  // from here on, held commands that no sweep has looked at
   TimeRing taken{20}, done{3}, further{1}, takenInSpan{1};
-  double usualRun = 0;
+  double usualRun = 0, usualWork = 0;  // means over all commands
 };
 
 double mix(uint32_t node, uint64_t group) {  // rendezvous hash
@@ -282,6 +289,7 @@
   double guess = row->usualWork > 0 ? row->usualWork : profile.target * profile.threads / 2;
   cmd->work = std::max(arrival.work > 0 ? arrival.work * row->workRatio : guess, 1e-4);
   row->usualWork += (cmd->work - row->usualWork) * (row->usualWork > 0 ? 0.02 : 1);
+  usualWork += (cmd->work - usualWork) * (usualWork > 0 ? 0.02 : 1);
   usualRun += (cmd->run() - usualRun) * (usualRun > 0 ? 0.02 : 1);
   cmd->memory = arrival.memoryMb * row->memoryRatio;
   cmd->targetAt = now + profile.target + profile.targetStretch * cmd->run();
@@ -301,10 +309,8 @@
       double rate = seat.tenant->quota * std::min(part, 1.0);
       seat.tokens = std::min(seat.tokens + (now - seat.filledAt) * rate, rate * 2);
       seat.filledAt = now;
-      if (seat.tokens >= 1)
-        seat.tokens -= 1;
-      else
-        cmd->worth *= set.overShareWorth;
+      if (seat.tokens >= 1) seat.tokens -= 1;
+      else cmd->worth *= set.overShareWorth;
     }
   }
   cmd->leaf = &root.child(arrival.tenant, weight).child(profile.name, 1);
@@ -324,10 +330,8 @@
     turn.ownDeficit = turn.deficit = 0;
     if (turn.parent && !turn.parent->awake(now)) turn.parent->deficit = std::min(turn.parent->deficit, 0.0);
   }
-  if (first)
-    turn.fifo.push_front(cmd.shared_from_this());
-  else
-    turn.fifo.push_back(cmd.shared_from_this());
+  if (first) turn.fifo.push_front(cmd.shared_from_this());
+  else turn.fifo.push_back(cmd.shared_from_this());
   cmd.held = true;
 }
 
@@ -349,10 +353,8 @@
   bool harmless = cmd.ranAt < 0 || profile.effect == Effect::replayable ||
                   (profile.effect == Effect::uniqued && profile.group == Group::all);
   if (cmd.node && profile.effect == Effect::nonReplayable) harmless = false;
-  if (harmless)
-    out.shed(cmd, set.retryAfter && overload ? set.maxRetryAfter : 0);
-  else
-    out.fail(cmd);
+  if (harmless) out.shed(cmd, set.retryAfter && overload ? set.maxRetryAfter : 0);
+  else out.fail(cmd);
   close(cmd);
 }
 
@@ -375,10 +377,8 @@
     }
     Cmd& first = *key.line.front();
     if (!first.held && !first.over && !first.node && first.sends == 0) {
-      if (key.quietUntil <= now)
-        hold(first, false);
-      else
-        wakeAt(key.quietUntil);
+      if (key.quietUntil <= now) hold(first, false);
+      else wakeAt(key.quietUntil);
     }
     ++it;
   }
@@ -450,13 +450,13 @@
     was.threads += profile().threads;
     was.memory += grant;
   }
-  bool silent = what == Outcome::expired && was.lastLife <= sentAt;
-  if (what == Outcome::answered)
-    was.oks.add(core.now, 1);
-  else if (what == Outcome::error || silent)
-    was.fails.add(core.now, 1);
-  else if (what == Outcome::connectFailed || what == Outcome::reset)
-    was.fails.add(core.now, 2);
+  if (what == Outcome::expired) {
+    row.took.add(core.now, took), row.rest.add(core.now, atRest());  // at least so long
+    if (was.lastLife <= sentAt) ++was.lost;
+  }
+  if (what == Outcome::answered) was.oks.add(core.now, 1);
+  else if (what == Outcome::error) was.fails.add(core.now, 1);
+  else if (what == Outcome::connectFailed || what == Outcome::reset) was.fails.add(core.now, 2);
   if (what == Outcome::answered || what == Outcome::error || what == Outcome::full) core.seeLife(was);
   if (what == Outcome::full) core.press(was);
   if (ownTrial && was.resting) {
@@ -467,7 +467,8 @@
     }
   }
   if (what == Outcome::answered) core.learn(*this, took, bill);
-  if (what == Outcome::answered && !ownTrial) was.took.add(core.now, std::min(took, kRatioCap * atRest())), was.rest.add(core.now, atRest());
+  if (what == Outcome::answered && !ownTrial)
+    was.took.add(core.now, std::min(took, kRatioCap * atRest())), was.rest.add(core.now, atRest());
   core.seeReport(was, report);
   avoid = &was;
   if (final || over) {
@@ -481,15 +482,14 @@
 void Core::seeLife(Node& node) {
   node.gap += (std::min(now - node.lastLife, 1.0) - node.gap) * 0.1;
   node.lastLife = now;
+  node.lost = 0;
 }
 
 void Core::seeReport(Node& node, const Report* report) {
   if (!report) return;
   if (report->utilisation) {
-    if (*report->utilisation < kUtilisationCut)
-      node.idleUntil = now + 0.5;
-    else
-      press(node);
+    if (*report->utilisation < kUtilisationCut) node.idleUntil = now + 0.5;
+    else press(node);
   }
   if (report->waiting.value_or(0) > 0.5 || report->disksBusy.value_or(0) > 0.97) press(node);
 }
@@ -561,17 +561,17 @@
   node.probeOut = false;
   seeReport(node, report);
   if (!node.resting) return;
-  if (what == Outcome::answered)
-    node.trials = std::max(node.trials, 1);
-  else
-    rest(node, "probe failed", 0, kTrials);
+  if (what == Outcome::answered) node.trials = std::max(node.trials, 1);
+  else rest(node, "probe failed", 0, kTrials);
 }
 
-double Core::fill(const Node& node) const {  // part of its place that our load takes
-  return node.threads / node.cores / (kMark * share() * node.limit);
+double Core::fill(const Node& node, const Cmd& cmd) const {  // part of its place that our load would take
+  if (node.threads == 0) return 0;
+  return (node.threads + cmd.profile().threads / 2.0) / able(node) / (kMark * share() * node.limit);
 }
 
-bool Core::fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
+bool Core::fits(const Node& node,
+                const Cmd& cmd) const {  // memory runs short in one step: no chance above it
   double part = node.pressed ? std::min(1.0, share() * node.limit) : 1.0;
   return node.memoryMb <= 0 || node.memory <= 0 ||
          node.memory + cmd.memory <= node.memoryMb * kMemoryUse * part;
@@ -625,7 +625,7 @@
     double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone * share() : 0;
     if (node->resting) extra -= 1e6;  // a trial that is due is taken
     if (node.get() == cmd.avoid) extra += 1e6;
-    bool place = !node->pressed || fill(*node) < 1 || now < node->idleUntil;
+    bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
     anyPlace |= place;
     double rank = mix(id, cmd.tables);
     choices.push_back({node.get(), load(*node) + extra, cmd.profile().load ? -rank : rank, place});
@@ -646,7 +646,7 @@
   Node* node = pick(cmd);
   if (!node) return false;
   if (node->pressed && now >= node->idleUntil) {
-    double use = fill(*node);
+    double use = fill(*node, cmd);
     if (use >= 1 && chance.unit() >= 2 - use) return false;
   }
   send(cmd, *node);
@@ -657,7 +657,9 @@
   const Profile& profile = cmd.profile();
   bool last = cmd.sends > kFurther || cmd.sends >= set.maxSends;  // counted after this send
   if (profile.effect == Effect::nonReplayable || last) return 0;
-  double usual = cmd.atRest() * std::clamp(node.stretch, 1.0, 6.0);
+  double took = cmd.row.took.sum(now), rested = cmd.row.rest.sum(now);
+  double slow = std::max(node.stretch, rested > 0 ? took / rested : 1);
+  double usual = cmd.atRest() * std::clamp(slow, 1.0, 6.0);
   if (set.cancel) return 3 * usual + 0.1;  // stopping frees the node, so a bad plan is cut early
   if (overload || node.pressed) return 0;  // it would run on beside its successor
   return std::max({3 * usual, cmd.targetAt - now - 1.5 * usual, 0.3});
@@ -698,8 +700,7 @@
   if (!node.resting) log("node %u rests: %s (%.2f against %.2f)", node.id, why, figure, other);
   if (node.resting || now < node.wellSince + kRestLast)
     node.restTime = std::min(node.restTime * 2, kRestLast);
-  else
-    node.restTime = kRestFirst;
+  else node.restTime = kRestFirst;
   node.resting = true;
   node.trials = 0;
   node.restUntil = now + node.restTime;
@@ -722,7 +723,8 @@
   double fails = node.fails.sum(now), oks = node.oks.sum(now), otherFails = 0, otherOks = 0, usual = 1;
   for (auto& [id, other] : nodes)
     if (other.get() != &node && !other->resting)
-      otherFails += other->fails.sum(now), otherOks += other->oks.sum(now), usual = std::max(usual, other->stretch);
+      otherFails += other->fails.sum(now), otherOks += other->oks.sum(now),
+          usual = std::max(usual, other->stretch);
   double share = fails / std::max(fails + oks, 1.0);
   double others = otherFails / std::max(otherFails + otherOks, 1.0);
   if (fails >= 3 && share > 0.2 && share > 3 * others) return rest(node, "it fails", share, others);
@@ -730,7 +732,8 @@
   long overdue = std::count_if(node.out.begin(), node.out.end(), [&](Cmd* cmd) {
     return now - cmd->sentAt > 0.5 + 3 * cmd->atRest() * std::clamp(usual, 1.0, 4.0);
   });
-  if (overdue < 1 || quiet < std::max(0.5, 10 * node.gap)) return;
+  overdue += node.lost;
+  if (overdue < (quiet > 2 ? 1 : 2) || quiet < std::max(0.5, 10 * node.gap)) return;
   int lively = 0, busy = 0;
   for (auto& [id, other] : nodes) {
     if (other.get() == &node || other->out.empty() || other->resting) continue;
@@ -755,10 +758,8 @@
   bool far = node.stretch > kFar && !node.resting;
   if (far) press(node);
   if (!node.pressed) return;
-  if (far && node.threads > 0)
-    node.limit = std::max(1.0, node.limit * kMarkFall);
-  else if (now > node.pressedUntil - kPressureHold / 2)
-    node.limit *= kMarkRise;
+  if (far && node.threads > 0) node.limit = std::max(1.0, node.limit * kMarkFall);
+  else if (now > node.pressedUntil - kPressureHold / 2) node.limit *= kMarkRise;
   if (now > node.pressedUntil && node.limit > 2.0 * set.gateways) node.pressed = false;
 }
 
@@ -841,17 +842,16 @@
     if (start(cmd)) {
       turn->pay(work);
     } else {  // the loser waits and draws again; meanwhile other leaves take their turns
-      turn->wakeAt = now + chance.between(kWaitLow, kWaitHigh);
+      double size = std::clamp(work / std::max(usualWork, 1e-6), kWaitLeast, kWaitMost);
+      turn->wakeAt = now + size * chance.between(kWaitLow, kWaitHigh);
       first = first < 0 ? turn->wakeAt : std::min(first, turn->wakeAt);
     }
   }
   bool live = !held.empty() || std::any_of(nodes.begin(), nodes.end(), [](auto& n) {
     return !n.second->out.empty() || !n.second->ghosts.empty() || n.second->pressed || n.second->resting;
   });
-  if (first >= 0)
-    wakeAt(std::min(first, std::max(nextSweep, now + 0.001)));
-  else if (live || overload)
-    wakeAt(std::max(nextSweep, now + 0.001));
+  if (first >= 0) wakeAt(std::min(first, std::max(nextSweep, now + 0.001)));
+  else if (live || overload) wakeAt(std::max(nextSweep, now + 0.001));
 }
 
 }  // namespace
--- a/src/time_ring.h
+++ b/src/time_ring.h
@@ -33,8 +33,7 @@
   static constexpr int64_t kBuckets = 18;
   void turnTo(double now) {
     auto slot = static_cast<int64_t>(std::floor(now / width_)) + kBuckets;
-    if (slot - head_ >= kBuckets)
-      buckets_.fill(0);
+    if (slot - head_ >= kBuckets) buckets_.fill(0);
     else
       for (int64_t next = head_ + 1; next <= slot; ++next) buckets_[static_cast<size_t>(next) % kBuckets] = 0;
     if (slot > head_) head_ = slot;
