--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -37,17 +37,19 @@
 constexpr double kRatioCap = 4.0;      // a single latency counts as no more, so that a bad plan says little
 constexpr double kPressureHold = 1.0;  // pressure lasts at least this long
 constexpr double kMarkFall = 0.8, kMarkRise = 1.04;  // how a node's mark moves, a sweep
-constexpr double kBand = 0.5;       // threads a core that the first in rank may stand above the least loaded
-constexpr double kFarZone = 0.75;   // the same, for nodes that cost a crossing
-constexpr double kSweep = 0.05;     // time between sweeps
-constexpr double kClock = 1e-6;     // the clock of the wire is no finer
-constexpr double kQuantum = 0.05;   // seconds of work that a turn pays for, at an average share
-constexpr double kMemoryUse = 0.9;  // part of a node's memory to fill
+constexpr double kBand = 0.5;        // threads a core that the first in rank may stand above the least loaded
+constexpr double kFarZone = 0.75;    // the same, for nodes that cost a crossing
+constexpr double kSweep = 0.05;      // time between sweeps
+constexpr double kClock = 1e-6;      // the clock of the wire is no finer
+constexpr double kQuantum = 0.05;    // seconds of work that a turn pays for, at an average share
+constexpr double kMemoryUse = 0.85;  // part of a node's memory to fill
 constexpr double kGrantSpare = 1.15;   // grant over the corrected estimate
 constexpr double kSafeCapacity = 0.4;  // part of a cold node's cores that surely counts as its capacity
 constexpr double kRestFirst = 1.0, kRestLast = 8.0;  // rest of a failing node, doubled at each relapse
-constexpr int kTrials = 3;                           // answered trials before a node counts as well
-constexpr int kFurther = 2;                          // further sends, while no overload is seen
+constexpr double kFullFirst = 0.1,
+                 kFullLast = 1.0;  // no sends after a full refusal, doubled at each in a row
+constexpr int kTrials = 3;         // answered trials before a node counts as well
+constexpr int kFurther = 2;        // further sends, while no overload is seen
 constexpr double kOverloadHold =
     2.0;                          // overload lasts this long after the last command shed for want of room
 constexpr double kBacklog = 0.5;  // part of the held commands' slack that the backlog may need
@@ -149,8 +151,9 @@
   double stretch = 1, limit = 1;  // latency over the best; what the mark is multiplied by under pressure
   double pressedUntil = -1, idleUntil = -1;
   bool pressed = false;
-  double lastLife = 0, gap = 0.1;  // last sign of life, usual time between two
-  long lost = 0;                   // sends timed out since then
+  double fullUntil = 0, fullWait = 0;  // after a full refusal
+  double lastLife = 0, gap = 0.1;      // last sign of life, usual time between two
+  long lost = 0;                       // sends timed out since then
   bool resting = false;
   double restUntil = 0, restTime = kRestFirst, wellSince = 0;
   int trials = 0;
@@ -458,7 +461,10 @@
   else if (what == Outcome::error) was.fails.add(core.now, 1);
   else if (what == Outcome::connectFailed || what == Outcome::reset) was.fails.add(core.now, 2);
   if (what == Outcome::answered || what == Outcome::error || what == Outcome::full) core.seeLife(was);
-  if (what == Outcome::full) core.press(was);
+  if (what == Outcome::full)
+    core.press(was), was.fullWait = std::clamp(was.fullWait * 2, kFullFirst, kFullLast),
+                     was.fullUntil = core.now + was.fullWait;
+  if (what == Outcome::answered) was.fullWait = 0;
   if (ownTrial && was.resting) {
     if (what == Outcome::answered) {
       if (++was.trials >= kTrials) core.well(was);
@@ -572,7 +578,9 @@
 
 bool Core::fits(const Node& node,
                 const Cmd& cmd) const {  // memory runs short in one step: no chance above it
-  double part = node.pressed ? std::min(1.0, share() * node.limit) : 1.0;
+  double part = set.shortMemory == ShortMemory::overcommit ? share()
+                : node.pressed                             ? std::min(1.0, share() * node.limit)
+                                                           : 1.0;
   return node.memoryMb <= 0 || node.memory <= 0 ||
          node.memory + cmd.memory <= node.memoryMb * kMemoryUse * part;
 }
@@ -598,6 +606,7 @@
     if (profile.group == Group::cell && (node.cell != cmd.ranOn.cell || node.zone != cmd.ranOn.zone))
       return false;
   }
+  if (now < node.fullUntil) return false;
   if (node.resting) {  // trials: one at a time, of what may run again and is short
     if (now < node.restUntil || node.trialOut || (set.probing && node.trials == 0)) return false;
     if (profile.effect != Effect::replayable || cmd.run() > usualRun || cmd.sends > 0) return false;
