--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -268,6 +268,7 @@
   std::vector<std::shared_ptr<Cmd>> held;
   size_t fresh = 0;  // from here on, held commands that no sweep has looked at
   TimeRing taken{20}, done{3}, further{1}, takenInSpan{1};
+  double trafficPart = 0;  // our part of all gateways' traffic, by the tenants' quotas
   double usualRun = 0, usualWork = 0;  // means over all commands
 };
 
@@ -308,7 +309,8 @@
         0) {  // beyond its share? our part of the quota is at least our part of the traffic
       double quotas = 0;
       for (auto& tenant : set.tenants) quotas += tenant.quota;
-      double part = std::max(share(), taken.sum(now) / std::clamp(now - openedAt, 5.0, 20.0) / quotas);
+      trafficPart = taken.sum(now) / std::clamp(now - openedAt, 5.0, 20.0) / quotas;
+      double part = std::max(share(), trafficPart);
       double rate = seat.tenant->quota * std::min(part, 1.0);
       seat.tokens = std::min(seat.tokens + (now - seat.filledAt) * rate, rate * 2);
       seat.filledAt = now;
@@ -578,9 +580,8 @@
 
 bool Core::fits(const Node& node,
                 const Cmd& cmd) const {  // memory runs short in one step: no chance above it
-  double part = set.shortMemory == ShortMemory::overcommit ? share()
-                : node.pressed                             ? std::min(1.0, share() * node.limit)
-                                                           : 1.0;
+  double part = std::min(1.0, std::max(share(), trafficPart) * (node.pressed ? node.limit : 1.0));
+  if (set.shortMemory == ShortMemory::overcommit) part = share();
   return node.memoryMb <= 0 || node.memory <= 0 ||
          node.memory + cmd.memory <= node.memoryMb * kMemoryUse * part;
 }
