--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -37,12 +37,14 @@
 constexpr double kRatioCap = 4.0;      // a single latency counts as no more, so that a bad plan says little
 constexpr double kPressureHold = 1.0;  // pressure lasts at least this long
 constexpr double kMarkFall = 0.8, kMarkRise = 1.04;  // how a node's mark moves, a sweep
-constexpr double kBand = 0.5;        // threads a core that the first in rank may stand above the least loaded
-constexpr double kFarZone = 0.75;    // the same, for nodes that cost a crossing
-constexpr double kSweep = 0.05;      // time between sweeps
-constexpr double kClock = 1e-6;      // the clock of the wire is no finer
-constexpr double kQuantum = 0.05;    // seconds of work that a turn pays for, at an average share
-constexpr double kMemoryUse = 0.85;  // part of a node's memory to fill
+constexpr double kBand = 0.5;     // threads a core that the first in rank may stand above the least loaded
+constexpr double kFarZone = 1.0;  // the same, for nodes that cost a crossing
+constexpr double kApart =
+    1.0;  // the same, for the side of a group's rank that loads and readers leave each other
+constexpr double kSweep = 0.05;        // time between sweeps
+constexpr double kClock = 1e-6;        // the clock of the wire is no finer
+constexpr double kQuantum = 0.05;      // seconds of work that a turn pays for, at an average share
+constexpr double kMemoryUse = 0.85;    // part of a node's memory to fill
 constexpr double kGrantSpare = 1.15;   // grant over the corrected estimate
 constexpr double kSafeCapacity = 0.4;  // part of a cold node's cores that surely counts as its capacity
 constexpr double kRestFirst = 1.0, kRestLast = 8.0;  // rest of a failing node, doubled at each relapse
@@ -157,6 +159,7 @@
   bool resting = false;
   double restUntil = 0, restTime = kRestFirst, wellSince = 0;
   int trials = 0;
+  std::map<uint64_t, double> heldUntil;  // groups that a load of another gateway seems to hold
   bool trialOut = false, probeOut = false;
 };
 
@@ -197,6 +200,8 @@
     for (size_t i = 0; i < rows.size(); ++i) rows[i].profile = &set.profiles[i];
     for (auto& tenant : set.tenants) seats[tenant.name].tenant = &tenant;
     further = TimeRing(std::max(set.furtherSpan, 0.001));
+    salt = (static_cast<uint64_t>(chance.next()) << 32) | chance.next();
+    loadsHold = std::any_of(rows.begin(), rows.end(), [](Row& r) { return r.profile->yields; });
     takenInSpan = TimeRing(std::max(set.furtherSpan, 0.001));
   }
 
@@ -264,11 +269,14 @@
   std::map<std::string, Seat> seats;
   std::map<uint32_t, std::unique_ptr<Node>> nodes;
   std::map<uint64_t, KeyLine> keys;
+  uint64_t salt = 0;
+  double loadRun = 0;      // mean run of a load
+  bool loadsHold = false;  // some profile stands still while a load holds its group
   Turn root;
   std::vector<std::shared_ptr<Cmd>> held;
   size_t fresh = 0;  // from here on, held commands that no sweep has looked at
   TimeRing taken{20}, done{3}, further{1}, takenInSpan{1};
-  double trafficPart = 0;  // our part of all gateways' traffic, by the tenants' quotas
+  double trafficPart = 0;              // our part of all gateways' traffic, by the tenants' quotas
   double usualRun = 0, usualWork = 0;  // means over all commands
 };
 
@@ -295,6 +303,7 @@
   row->usualWork += (cmd->work - row->usualWork) * (row->usualWork > 0 ? 0.02 : 1);
   usualWork += (cmd->work - usualWork) * (usualWork > 0 ? 0.02 : 1);
   usualRun += (cmd->run() - usualRun) * (usualRun > 0 ? 0.02 : 1);
+  if (profile.load) loadRun += (cmd->run() - loadRun) * (loadRun > 0 ? 0.05 : 1);
   cmd->memory = arrival.memoryMb * row->memoryRatio;
   cmd->targetAt = now + profile.target + profile.targetStretch * cmd->run();
   cmd->timeoutAt = now + arrival.timeLeft;
@@ -456,8 +465,10 @@
     was.memory += grant;
   }
   if (what == Outcome::expired) {
-    row.took.add(core.now, took), row.rest.add(core.now, atRest());  // at least so long
+    if (!profile().yields)
+      row.took.add(core.now, took), row.rest.add(core.now, atRest());  // at least so long
     if (was.lastLife <= sentAt) ++was.lost;
+    else if (profile().yields) was.heldUntil[tables] = core.now + core.loadRun / 2;
   }
   if (what == Outcome::answered) was.oks.add(core.now, 1);
   else if (what == Outcome::error) was.fails.add(core.now, 1);
@@ -586,13 +597,20 @@
          node.memory + cmd.memory <= node.memoryMb * kMemoryUse * part;
 }
 
+// Does a load hold the command's group there? Ours do for sure; another gateway's shows in waiters of that
+// group that are overdue, or ran out of time, on a node that answers others.
 bool Core::holdsGroup(const Node& node, const Cmd& cmd) const {
   if (!cmd.profile().yields && !cmd.profile().load) return false;
-  auto same = [&](uint64_t tables, bool load) { return load && tables == cmd.tables; };
-  return std::any_of(node.out.begin(), node.out.end(),
-                     [&](Cmd* other) { return same(other->tables, other->profile().load); }) ||
-         std::any_of(node.ghosts.begin(), node.ghosts.end(),
-                     [&](const Ghost& ghost) { return same(ghost.tables, ghost.load); });
+  auto held = node.heldUntil.find(cmd.tables);
+  if (held != node.heldUntil.end() && now < held->second) return true;
+  for (Cmd* other : node.out) {
+    if (other->tables != cmd.tables) continue;
+    if (other->profile().load) return true;
+    if (other->profile().yields && now - other->sentAt > 0.05 + 2 * other->atRest() * node.stretch)
+      return true;
+  }
+  return std::any_of(node.ghosts.begin(), node.ghosts.end(),
+                     [&](const Ghost& ghost) { return ghost.load && ghost.tables == cmd.tables; });
 }
 
 bool Core::allowed(Node& node, const Cmd& cmd) {
@@ -630,22 +648,32 @@
   };
   std::vector<Choice> choices;
   bool anyPlace = false;
+  double part = std::min(1.0, std::max(share(), trafficPart));
+  bool apart = loadsHold && (cmd.profile().load || cmd.profile().yields);
   for (auto& [id, node] : nodes) {
     if (!allowed(*node, cmd)) continue;
-    double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone * share() : 0;
+    double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone * part : 0;
+    double rank = mix(id, cmd.tables);
+    if (apart) {  // a group's loads to the last third of its rank, those that would wait for them to the rest
+      long listed = 0, behind = 0;
+      for (auto& [otherId, other] : nodes)
+        if (other->listed) ++listed, behind += mix(otherId, cmd.tables) < rank;
+      if ((behind * 3 < listed) != cmd.profile().load) extra += kApart * part;
+      if (cmd.profile().load)
+        rank = mix(id, cmd.tables ^ salt);  // gateways spread their loads unlike each other
+    }
     if (node->resting) extra -= 1e6;  // a trial that is due is taken
     if (node.get() == cmd.avoid) extra += 1e6;
     bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
     anyPlace |= place;
-    double rank = mix(id, cmd.tables);
-    choices.push_back({node.get(), load(*node) + extra, cmd.profile().load ? -rank : rank, place});
+    choices.push_back({node.get(), load(*node) + extra, rank, place});
   }
   const Choice* least = nullptr;
   for (auto& choice : choices)
     if (choice.place == anyPlace && (!least || choice.load < least->load)) least = &choice;
   const Choice* first = least;
   for (auto& choice : choices)
-    if (choice.place == anyPlace && choice.load <= least->load + kBand * share() && choice.rank > first->rank)
+    if (choice.place == anyPlace && choice.load <= least->load + kBand * part && choice.rank > first->rank)
       first = &choice;
   return first ? first->node : nullptr;
 }
@@ -685,8 +713,7 @@
   if (set.priorities) {  // the shorter, the sooner; loads first where others wait for them
     double run = cmd.run() / std::max(usualRun, 1e-6);
     priority = run < 0.5 ? 3 : run < 1.5 ? 2 : run < 4 ? 1 : 0;
-    bool waited = std::any_of(rows.begin(), rows.end(), [](Row& r) { return r.profile->yields; });
-    if (cmd.profile().load && waited) priority = 3;
+    if (cmd.profile().load && loadsHold) priority = 3;
   }
   double grant = 0;
   if (set.grants && cmd.memory > 0) {
@@ -762,7 +789,8 @@
   double took = node.took.sum(now), atRest = node.rest.sum(now);
   for (Cmd* cmd : node.out) {  // what is overdue tells before it ends
     double elapsed = now - cmd->sentAt, rest = cmd->atRest();
-    if (elapsed > kFar * rest) took += std::min(elapsed, kRatioCap * rest), atRest += rest;
+    if (elapsed > kFar * rest)
+      took += std::min(elapsed, kRatioCap * rest), atRest += rest;
   }
   node.stretch = atRest > 0 ? took / atRest : 1;
   bool far = node.stretch > kFar && !node.resting;
