--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -33,7 +33,7 @@
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work
 constexpr double kWaitLeast = 0.2,
                  kWaitMost = 3;        // the wait grows with the work, so that draws are paid as turns are
-constexpr double kFar = 2.0;           // latency this many times the best shows pressure
+constexpr double kFar = 1.6;           // latency this many times the best shows pressure
 constexpr double kRatioCap = 4.0;      // a single latency counts as no more, so that a bad plan says little
 constexpr double kPressureHold = 1.0;  // pressure lasts at least this long
 constexpr double kMarkFall = 0.8, kMarkRise = 1.04;  // how a node's mark moves, a sweep
@@ -45,7 +45,7 @@
 constexpr double kClock = 1e-6;        // the clock of the wire is no finer
 constexpr double kQuantum = 0.05;      // seconds of work that a turn pays for, at an average share
 constexpr double kMemoryUse = 0.85;    // part of a node's memory to fill
-constexpr double kGrantSpare = 1.15;   // grant over the corrected estimate
+constexpr double kGrantSpare = 1.4;   // grant over the corrected estimate
 constexpr double kSafeCapacity = 0.4;  // part of a cold node's cores that surely counts as its capacity
 constexpr double kRestFirst = 1.0, kRestLast = 8.0;  // rest of a failing node, doubled at each relapse
 constexpr double kFullFirst = 0.1,
