--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -54,7 +54,7 @@
 constexpr int kFurther = 2;        // further sends, while no overload is seen
 constexpr double kOverloadHold =
     2.0;                          // overload lasts this long after the last command shed for want of room
-constexpr double kBacklog = 0.5;  // part of the held commands' slack that the backlog may need
+constexpr double kBacklog = 0.3;  // part of the held commands' slack that the backlog may need
 
 // --- types
 // --------------------------------------------------------------------------------------------------
@@ -810,21 +810,22 @@
     if (!cmd->over && !cmd->node) waiting.push_back(cmd);
   held = waiting;
   fresh = held.size();
-  double backlog = 0, slack = 0;
+  double backlog = 0, slack = 0, worth = 0;
   for (auto& cmd : waiting) {
     if (hopeless(*cmd)) {
       end(*cmd);
       continue;
     }
     backlog += cmd->work;
-    slack += cmd->work * std::max(0.0, cmd->targetAt - now - cmd->atRest());
+    slack += cmd->worth * std::max(0.0, cmd->targetAt - now - cmd->atRest());
+    worth += cmd->worth;
   }
   double cores = 0;
   for (auto& [id, node] : nodes)
     if (node->listed && !node->resting) cores += node->cores;
   double rate = std::max(done.sum(now) / 3, 0.25 * cores * share());
   if (backlog <= 0 || cores <= 0) return;
-  double room = rate * kBacklog * slack / backlog;
+  double room = rate * kBacklog * slack / worth;
   if (backlog <= room || !pressure) return;
   auto density = [&](const std::shared_ptr<Cmd>& cmd) { return worthNow(*cmd) / cmd->work; };
   std::stable_sort(waiting.begin(), waiting.end(), [&](auto& a, auto& b) { return density(a) < density(b); });
