--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -54,7 +54,7 @@
 constexpr int kFurther = 2;        // further sends, while no overload is seen
 constexpr double kOverloadHold =
     2.0;                          // overload lasts this long after the last command shed for want of room
-constexpr double kBacklog = 0.3;  // part of the held commands' slack that the backlog may need
+constexpr double kBacklog = 0.2;  // part of the held commands' slack that the backlog may need
 
 // --- types
 // --------------------------------------------------------------------------------------------------
@@ -155,7 +155,7 @@
   bool pressed = false;
   double fullUntil = 0, fullWait = 0;  // after a full refusal
   double lastLife = 0, gap = 0.1;      // last sign of life, usual time between two
-  long lost = 0;                       // sends timed out since then
+  std::set<uint64_t> lost;             // groups of the sends timed out since then
   bool resting = false;
   double restUntil = 0, restTime = kRestFirst, wellSince = 0;
   int trials = 0;
@@ -467,7 +467,7 @@
   if (what == Outcome::expired) {
     if (!profile().yields)
       row.took.add(core.now, took), row.rest.add(core.now, atRest());  // at least so long
-    if (was.lastLife <= sentAt) ++was.lost;
+    if (was.lastLife <= sentAt) was.lost.insert(tables);
     else if (profile().yields) was.heldUntil[tables] = core.now + core.loadRun / 2;
   }
   if (what == Outcome::answered) was.oks.add(core.now, 1);
@@ -501,7 +501,7 @@
 void Core::seeLife(Node& node) {
   node.gap += (std::min(now - node.lastLife, 1.0) - node.gap) * 0.1;
   node.lastLife = now;
-  node.lost = 0;
+  node.lost.clear();
 }
 
 void Core::seeReport(Node& node, const Report* report) {
@@ -766,11 +766,11 @@
   double others = otherFails / std::max(otherFails + otherOks, 1.0);
   if (fails >= 3 && share > 0.2 && share > 3 * others) return rest(node, "it fails", share, others);
   double quiet = now - node.lastLife;
-  long overdue = std::count_if(node.out.begin(), node.out.end(), [&](Cmd* cmd) {
-    return now - cmd->sentAt > 0.5 + 3 * cmd->atRest() * std::clamp(usual, 1.0, 4.0);
-  });
-  overdue += node.lost;
-  if (overdue < (quiet > 2 ? 1 : 2) || quiet < std::max(0.5, 10 * node.gap)) return;
+  auto overdue = node.lost;  // by groups, since a load may hold up all commands of one
+  for (Cmd* cmd : node.out)
+    if (now - cmd->sentAt > 0.5 + 3 * cmd->atRest() * std::clamp(usual, 1.0, 4.0)) overdue.insert(cmd->tables);
+  double enough = std::max({0.5, 10 * node.gap, overdue.size() < 2 ? 2 + 2 * loadRun * loadsHold : 0.0});
+  if (overdue.empty() || quiet < enough) return;
   int lively = 0, busy = 0;
   for (auto& [id, other] : nodes) {
     if (other.get() == &node || other->out.empty() || other->resting) continue;
