--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -27,7 +27,6 @@
 namespace {
 
 // --- tuned values
-// -------------------------------------------------------------------------------------------
 constexpr double kMark = 2.0;  // threads a core, all gateways together
 constexpr double kUtilisationCut = 0.85;
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work
@@ -45,7 +44,7 @@
 constexpr double kClock = 1e-6;        // the clock of the wire is no finer
 constexpr double kQuantum = 0.05;      // seconds of work that a turn pays for, at an average share
 constexpr double kMemoryUse = 0.85;    // part of a node's memory to fill
-constexpr double kGrantSpare = 1.4;   // grant over the corrected estimate
+constexpr double kGrantSpare = 1.4;    // grant over the corrected estimate
 constexpr double kSafeCapacity = 0.4;  // part of a cold node's cores that surely counts as its capacity
 constexpr double kRestFirst = 1.0, kRestLast = 8.0;  // rest of a failing node, doubled at each relapse
 constexpr double kFullFirst = 0.1,
@@ -57,7 +56,6 @@
 constexpr double kBacklog = 0.2;  // part of the held commands' slack that the backlog may need
 
 // --- types
-// --------------------------------------------------------------------------------------------------
 struct Core;
 struct Node;
 struct Cmd;
@@ -130,14 +128,6 @@
   double tokens = 0, filledAt = 0;
 };
 
-struct Ghost {
-  double until;
-  int threads;
-  double memory;
-  uint64_t tables;
-  bool load;
-};
-
 struct Node {
   uint32_t id = 0;
   std::string zone, kind;
@@ -146,9 +136,8 @@
   bool listed = false;
   std::optional<double> startedAt;
   std::vector<Cmd*> out;
-  std::vector<Ghost> ghosts;
-  int threads = 0;    // of our sends there, ghosts too
-  double memory = 0;  // of our sends there, ghosts too
+  int threads = 0;    // of our sends there
+  double memory = 0;  // of our sends there
   TimeRing took{1}, rest{1}, fails{4}, oks{4}, coldWork{1};
   double stretch = 1, limit = 1;  // latency over the best; what the mark is multiplied by under pressure
   double pressedUntil = -1, idleUntil = -1;
@@ -194,6 +183,13 @@
   bool held = false, over = false, streaming = false, trial = false, cancelled = false;
 };
 
+double mix(uint32_t node, uint64_t group) {  // rendezvous hash
+  uint64_t h = (group + 0x9e3779b97f4a7c15ULL) * 0xbf58476d1ce4e5b9ULL ^ (node * 0x94d049bb133111ebULL);
+  h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  h = (h ^ (h >> 27)) * 0x94d049bb133111ebULL;
+  return static_cast<double>((h ^ (h >> 31)) >> 11);
+}
+
 struct Core final : Gateway {
   Core(const Settings& given, uint64_t seed, Outlet& to) : set(given), chance(seed), out(to) {
     rows.resize(set.profiles.size());
@@ -209,17 +205,6 @@
     now = time;
     if (openedAt < 0) openedAt = now;
   }
-  std::shared_ptr<Command> take(const Arrival& arrival) override;
-  void list(ListKind kind, const std::vector<NodeRow>& rows) override;
-  void probed(uint32_t node, Outcome what, const Report* report) override;
-  void settle() override;
-
-  // what is seen
-  void seeReport(Node& node, const Report* report);
-  void seeLife(Node& node);
-  void press(Node& node);
-  void learn(Cmd& cmd, double took, const Bill* bill);
-  // engines
   double share() const { return 1.0 / std::max(1, set.gateways); }
   bool cold(const Node& node) const { return node.startedAt && now < *node.startedAt + set.coldTime; }
   double load(const Node& node) const { return node.threads / able(node); }
@@ -227,32 +212,6 @@
     double age = cold(node) ? (now - *node.startedAt) / set.coldTime : 1;
     return node.cores * (set.coldFrom + (1 - set.coldFrom) * std::clamp(age, 0.0, 1.0));
   }
-  double fill(const Node& node, const Cmd& cmd) const;
-  bool fits(const Node& node, const Cmd& cmd) const;
-  bool holdsGroup(const Node& node, const Cmd& cmd) const;
-  bool allowed(Node& node, const Cmd& cmd);
-  Node* pick(Cmd& cmd);
-  // commands
-  bool start(Cmd& cmd);
-  void send(Cmd& cmd, Node& node);
-  double timeout(const Cmd& cmd, const Node& node) const;
-  void hold(Cmd& cmd, bool first);
-  void unhold(Cmd& cmd);
-  void end(Cmd& cmd);
-  void close(Cmd& cmd);
-  void again(Cmd& cmd);
-  bool mayGoAgain(const Cmd& cmd);
-  double worthNow(const Cmd& cmd) const;
-  bool hopeless(const Cmd& cmd) const;
-  // sweeps
-  void sweep();
-  void judge(Node& node);
-  void rest(Node& node, const char* why, double figure, double other);
-  void well(Node& node);
-  void shedHeld();
-  void moveMark(Node& node);
-  void releaseKeys();
-  void wakeAt(double time);
   template <typename... Figures>
   void log(const char* format, Figures... figures) {
     char line[160];
@@ -260,6 +219,532 @@
     out.log(line);
   }
 
+  // --- commands in and out
+  std::shared_ptr<Command> take(const Arrival& arrival) override {
+    auto row =
+        std::find_if(rows.begin(), rows.end(), [&](Row& r) { return r.profile->name == arrival.profile; });
+    if (row == rows.end()) throw std::runtime_error("a command of an unknown profile: " + arrival.profile);
+    auto cmd = std::make_shared<Cmd>(*this, *row);
+    const Profile& profile = *row->profile;
+    cmd->tables = arrival.tables;
+    if (profile.ordered) cmd->key = arrival.key;
+    cmd->estimate = arrival.work;
+    double guess = row->usualWork > 0 ? row->usualWork : profile.target * profile.threads / 2;
+    cmd->work = std::max(arrival.work > 0 ? arrival.work * row->workRatio : guess, 1e-4);
+    row->usualWork += (cmd->work - row->usualWork) * (row->usualWork > 0 ? 0.02 : 1);
+    usualWork += (cmd->work - usualWork) * (usualWork > 0 ? 0.02 : 1);
+    usualRun += (cmd->run() - usualRun) * (usualRun > 0 ? 0.02 : 1);
+    if (profile.load) loadRun += (cmd->run() - loadRun) * (loadRun > 0 ? 0.05 : 1);
+    cmd->memory = arrival.memoryMb * row->memoryRatio;
+    cmd->targetAt = now + profile.target + profile.targetStretch * cmd->run();
+    cmd->timeoutAt = now + arrival.timeLeft;
+    cmd->worth = profile.benefit;
+    taken.add(now, 1);
+    takenInSpan.add(now, 1);
+    double weight = 1;
+    if (auto found = seats.find(arrival.tenant); found != seats.end()) {
+      Seat& seat = found->second;
+      weight = std::max(seat.tenant->share * static_cast<double>(seats.size()), 0.01);
+      if (seat.tenant->quota >
+          0) {  // beyond its share? our part of the quota is at least our part of the traffic
+        double quotas = 0;
+        for (auto& tenant : set.tenants) quotas += tenant.quota;
+        trafficPart = taken.sum(now) / std::clamp(now - openedAt, 5.0, 20.0) / quotas;
+        double part = std::max(share(), trafficPart);
+        double rate = seat.tenant->quota * std::min(part, 1.0);
+        seat.tokens = std::min(seat.tokens + (now - seat.filledAt) * rate, rate * 2);
+        seat.filledAt = now;
+        if (seat.tokens >= 1) seat.tokens -= 1;
+        else cmd->worth *= set.overShareWorth;
+      }
+    }
+    cmd->leaf = &root.child(arrival.tenant, weight).child(profile.name, 1);
+    if (cmd->key) {
+      auto& line = keys[*cmd->key].line;
+      line.push_back(cmd);
+    } else {
+      hold(*cmd, false);
+    }
+    held.push_back(cmd);
+    return cmd;
+  }
+
+  void hold(Cmd& cmd, bool first) {
+    auto& turn = *cmd.leaf;
+    if (turn.fifo.empty()) {  // an empty queue keeps neither debt nor credit
+      turn.ownDeficit = turn.deficit = 0;
+      if (turn.parent && !turn.parent->awake(now)) turn.parent->deficit = std::min(turn.parent->deficit, 0.0);
+    }
+    if (first) turn.fifo.push_front(cmd.shared_from_this());
+    else turn.fifo.push_back(cmd.shared_from_this());
+    cmd.held = true;
+  }
+
+  void unhold(Cmd& cmd) {
+    auto& fifo = cmd.leaf->fifo;
+    fifo.erase(std::remove_if(fifo.begin(), fifo.end(), [&](auto& c) { return c.get() == &cmd; }),
+               fifo.end());
+    cmd.held = false;
+  }
+
+  // The final answer, at once. A shed tells the client that a retry does no harm, so it is given only where
+  // that holds: never run, replayable, or uniqued where every node knows the repeat (rule 2); else the command
+  // fails.
+  void end(Cmd& cmd) {
+    if (cmd.over) return;
+    auto self = cmd.shared_from_this();
+    if (cmd.held) unhold(cmd);
+    cmd.over = true;
+    const Profile& profile = cmd.profile();
+    bool harmless = cmd.ranAt < 0 || profile.effect == Effect::replayable ||
+                    (profile.effect == Effect::uniqued && profile.group == Group::all);
+    if (cmd.node && profile.effect == Effect::nonReplayable) harmless = false;
+    if (harmless) out.shed(cmd, set.retryAfter && overload ? set.maxRetryAfter : 0);
+    else out.fail(cmd);
+    close(cmd);
+  }
+
+  // Over, and no send without an outcome: its key goes on.
+  void close(Cmd& cmd) {
+    if (!cmd.over || cmd.node || !cmd.key) return;
+    auto found = keys.find(*cmd.key);
+    if (found == keys.end()) return;
+    auto self = cmd.shared_from_this();
+    auto& line = found->second.line;
+    line.erase(std::remove(line.begin(), line.end(), self), line.end());
+  }
+
+  void releaseKeys() {  // rule 5: one command of a key at a time, in order, after the quiet time
+    for (auto it = keys.begin(); it != keys.end();) {
+      KeyLine& key = it->second;
+      if (key.line.empty()) {
+        it = key.quietUntil <= now ? keys.erase(it) : std::next(it);
+        continue;
+      }
+      Cmd& first = *key.line.front();
+      if (!first.held && !first.over && !first.node && first.sends == 0) {
+        if (key.quietUntil <= now) hold(first, false);
+        else wakeAt(key.quietUntil);
+      }
+      ++it;
+    }
+  }
+
+  double worthNow(const Cmd& cmd) const {
+    double late = now + 0.8 * cmd.atRest() > cmd.targetAt ? cmd.profile().lateShare : 1;
+    return cmd.worth * late;
+  }
+
+  bool hopeless(const Cmd& cmd) const {
+    double left = cmd.timeoutAt - now;
+    return left < 2 * kSweep || left < 0.8 * cmd.atRest() || worthNow(cmd) <= 0;
+  }
+
+  bool mayGoAgain(const Cmd& cmd) {
+    const Profile& profile = cmd.profile();
+    if (overload || cmd.sends > kFurther || cmd.sends >= set.maxSends || cmd.streaming) return false;
+    if (now + cmd.atRest() > cmd.timeoutAt || worthNow(cmd) <= 0) return false;
+    if (cmd.ranAt >= 0 && profile.effect == Effect::nonReplayable) return false;
+    if (cmd.ranAt >= 0 && profile.effect == Effect::uniqued && now >= cmd.ranAt + profile.memorySpan)
+      return false;
+    if (set.furtherSpan > 0 &&  // rule 7, counted to the safe side
+        further.sum(now) + 1 > set.furtherFree + set.furtherShare * takenInSpan.surely(now))
+      return false;
+    return true;
+  }
+
+  void again(Cmd& cmd) {
+    if (!mayGoAgain(cmd)) return end(cmd);
+    hold(cmd, true);
+    held.push_back(cmd.shared_from_this());
+  }
+
+  void seeLife(Node& node) {
+    node.gap += (std::min(now - node.lastLife, 1.0) - node.gap) * 0.1;
+    node.lastLife = now;
+    node.lost.clear();
+  }
+
+  void seeReport(Node& node, const Report* report) {
+    if (!report) return;
+    if (report->utilisation) {
+      if (*report->utilisation < kUtilisationCut) node.idleUntil = now + 0.5;
+      else press(node);
+    }
+    if (report->waiting.value_or(0) > 0.5 || report->disksBusy.value_or(0) > 0.97) press(node);
+  }
+
+  void press(Node& node) {
+    if (!node.pressed) node.pressed = true, node.limit = 1;
+    node.pressedUntil = now + kPressureHold;
+  }
+
+  void learn(Cmd& cmd, double took, const Bill* bill) {
+    Row& row = cmd.row;
+    if (bill && bill->work > 0) {
+      if (cmd.estimate > 0) {
+        double ratio = std::clamp(bill->work / cmd.estimate, 0.1, 10.0);
+        row.workRatio *= std::exp(0.03 * std::log(ratio / row.workRatio));
+        if (bill->memoryMb > 0 && cmd.memory > 0) {
+          double seen = std::clamp(bill->memoryMb / cmd.memory, 0.2, 5.0);  // against the corrected estimate
+          row.memoryRatio *= std::exp(0.03 * std::log(seen));
+        }
+      }
+      cmd.work = bill->work;
+    }
+    done.add(now, cmd.work);
+    double ratio = took / cmd.run();  // the best: a low quantile of latency over work
+    row.best *= ratio < row.best ? 0.97 : 1.005;
+    row.best = std::clamp(row.best, 0.4, 1.5);
+    row.took.add(now, took);
+    row.rest.add(now, cmd.atRest());
+  }
+
+  // --- engines
+  void list(ListKind kind, const std::vector<NodeRow>& given) override {
+    if (kind == ListKind::error) {
+      askAt = now + chance.between(0.5, 1.0);
+      return wakeAt(askAt);
+    }
+    if (!listSeen && set.askForList) out.followList();
+    listSeen = true;
+    if (kind == ListKind::full)
+      for (auto& [id, node] : nodes) node->listed = false;
+    for (auto& row : given) {
+      auto& slot = nodes[row.id];
+      if (!slot) {
+        slot = std::make_unique<Node>();
+        slot->id = row.id;
+        slot->lastLife = now;
+        slot->coldWork = TimeRing(std::max(set.fallTime * 1.1, 0.001));
+      }
+      Node& node = *slot;
+      node.zone = row.zone, node.kind = row.kind, node.cell = row.cell;
+      for (auto& machine : set.kinds)
+        if (machine.name == row.kind)
+          node.cores = std::max(machine.cores, 1.0), node.memoryMb = machine.memoryMb;
+      node.listed = row.state == NodeState::inService;         // rule 3: at once, whatever the grace
+      if (row.startedAt && row.startedAt != node.startedAt) {  // a new process: what ran there is gone
+        if (node.resting) node.restUntil = std::min(node.restUntil, now);
+      }
+      node.startedAt = row.startedAt;
+    }
+  }
+
+  void probed(uint32_t id, Outcome what, const Report* report) override {
+    auto found = nodes.find(id);
+    if (found == nodes.end()) return;
+    Node& node = *found->second;
+    node.probeOut = false;
+    seeReport(node, report);
+    if (!node.resting) return;
+    if (what == Outcome::answered) node.trials = std::max(node.trials, 1);
+    else rest(node, "probe failed", 0, kTrials);
+  }
+
+  double fill(const Node& node, const Cmd& cmd) const {  // part of its place that our load would take
+    if (node.threads == 0) return 0;
+    return (node.threads + cmd.profile().threads / 2.0) / able(node) / (kMark * share() * node.limit);
+  }
+
+  bool fits(const Node& node,
+            const Cmd& cmd) const {  // memory runs short in one step: no chance above it
+    double part = std::min(1.0, std::max(share(), trafficPart) * (node.pressed ? node.limit : 1.0));
+    if (set.shortMemory == ShortMemory::overcommit) part = share();
+    return node.memoryMb <= 0 || node.memory <= 0 ||
+           node.memory + cmd.memory <= node.memoryMb * kMemoryUse * part;
+  }
+
+  // Does a load hold the command's group there? Ours do for sure; another gateway's shows in waiters of that
+  // group that are overdue, or ran out of time, on a node that answers others.
+  bool holdsGroup(const Node& node, const Cmd& cmd) const {
+    if (!cmd.profile().yields && !cmd.profile().load) return false;
+    auto held = node.heldUntil.find(cmd.tables);
+    if (held != node.heldUntil.end() && now < held->second) return true;
+    for (Cmd* other : node.out) {
+      if (other->tables != cmd.tables) continue;
+      if (other->profile().load) return true;
+      if (other->profile().yields && now - other->sentAt > 0.05 + 2 * other->atRest() * node.stretch)
+        return true;
+    }
+    return false;
+  }
+
+  bool allowed(Node& node, const Cmd& cmd) {
+    const Profile& profile = cmd.profile();
+    auto open = [](const std::vector<std::string>& names, const std::string& name) {
+      return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
+    };
+    if (!node.listed || !open(profile.zonesOpen, node.zone) || !open(profile.kindsOpen, node.kind))
+      return false;
+    if (cmd.ranAt >= 0 && profile.effect == Effect::uniqued) {  // rule 2: inside the group that knows it
+      if (profile.group == Group::zone && node.zone != cmd.ranOn.zone) return false;
+      if (profile.group == Group::cell && (node.cell != cmd.ranOn.cell || node.zone != cmd.ranOn.zone))
+        return false;
+    }
+    if (now < node.fullUntil) return false;
+    if (node.resting) {  // trials: one at a time, of what may run again and is short
+      if (now < node.restUntil || node.trialOut || (set.probing && node.trials == 0)) return false;
+      if (profile.effect != Effect::replayable || cmd.run() > usualRun || cmd.sends > 0) return false;
+    }
+    if (cold(node)) {  // rule 4: our part of the budget, by the usual work of the profile
+      if (now < openedAt + set.fallTime) return false;  // an earlier life of this gateway may have sent
+      double budget = set.fallMultiple * set.coldFrom * kSafeCapacity * node.cores * set.fallTime * share();
+      if (node.coldWork.sum(now) + std::max(cmd.work, cmd.row.usualWork) > budget) return false;
+    }
+    return fits(node, cmd) && !holdsGroup(node, cmd);
+  }
+
+  // The least-loaded engine, or rather the first in its group's rank that stands not far above it. Nodes with a
+  // place come before those without; a crossing of zones, where it is charged, counts as load.
+  Node* pick(Cmd& cmd) {
+    struct Choice {
+      Node* node;
+      double load, rank;
+      bool place;
+    };
+    std::vector<Choice> choices;
+    bool anyPlace = false;
+    double part = std::min(1.0, std::max(share(), trafficPart));
+    bool apart = loadsHold && (cmd.profile().load || cmd.profile().yields);
+    for (auto& [id, node] : nodes) {
+      if (!allowed(*node, cmd)) continue;
+      double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone * part : 0;
+      double rank = mix(id, cmd.tables);
+      if (apart) {  // a group's loads to the last third of its rank, those that would wait for them to the rest
+        long listed = 0, behind = 0;
+        for (auto& [otherId, other] : nodes)
+          if (other->listed) ++listed, behind += mix(otherId, cmd.tables) < rank;
+        if ((behind * 3 < listed) != cmd.profile().load) extra += kApart * part;
+        if (cmd.profile().load)
+          rank = mix(id, cmd.tables ^ salt);  // gateways spread their loads unlike each other
+      }
+      if (node->resting) extra -= 1e6;  // a trial that is due is taken
+      if (node.get() == cmd.avoid) extra += 1e6;
+      bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
+      anyPlace |= place;
+      choices.push_back({node.get(), load(*node) + extra, rank, place});
+    }
+    const Choice* least = nullptr;
+    for (auto& choice : choices)
+      if (choice.place == anyPlace && (!least || choice.load < least->load)) least = &choice;
+    const Choice* first = least;
+    for (auto& choice : choices)
+      if (choice.place == anyPlace && choice.load <= least->load + kBand * part && choice.rank > first->rank)
+        first = &choice;
+    return first ? first->node : nullptr;
+  }
+
+  // --- starts
+  bool start(Cmd& cmd) {
+    Node* node = pick(cmd);
+    if (!node) return false;
+    if (node->pressed && now >= node->idleUntil) {
+      double use = fill(*node, cmd);
+      if (use >= 1 && chance.unit() >= 2 - use) return false;
+    }
+    send(cmd, *node);
+    return true;
+  }
+
+  double timeout(const Cmd& cmd, const Node& node) const {
+    const Profile& profile = cmd.profile();
+    bool last = cmd.sends > kFurther || cmd.sends >= set.maxSends;  // counted after this send
+    if (profile.effect == Effect::nonReplayable || last) return 0;
+    double took = cmd.row.took.sum(now), rested = cmd.row.rest.sum(now);
+    double slow = std::max(node.stretch, rested > 0 ? took / rested : 1);
+    double usual = cmd.atRest() * std::clamp(slow, 1.0, 6.0);
+    if (set.cancel) return 3 * usual + 0.1;  // stopping frees the node, so a bad plan is cut early
+    if (overload || node.pressed) return 0;  // it would run on beside its successor
+    return std::max({3 * usual, cmd.targetAt - now - 1.5 * usual, 0.3});
+  }
+
+  void send(Cmd& cmd, Node& node) {
+    unhold(cmd);
+    cmd.node = &node;
+    cmd.sentAt = now;
+    if (cmd.sends++ > 0) further.add(now, 1);
+    cmd.grant = cmd.memory;
+    int priority = 1;
+    if (set.priorities) {  // the shorter, the sooner; loads first where others wait for them
+      double run = cmd.run() / std::max(usualRun, 1e-6);
+      priority = run < 0.5 ? 3 : run < 1.5 ? 2 : run < 4 ? 1 : 0;
+      if (cmd.profile().load && loadsHold) priority = 3;
+    }
+    double grant = 0;
+    if (set.grants && cmd.memory > 0) {
+      grant = cmd.memory * kGrantSpare;
+      if (node.memoryMb > 0) grant = std::min(grant, node.memoryMb * set.maxGrantShare);
+    }
+    if (set.priorities || grant > 0) out.terms(cmd, priority, grant);
+    if (cold(node)) node.coldWork.add(now, std::max(cmd.work, cmd.row.usualWork));
+    if (node.resting) cmd.trial = node.trialOut = true;
+    if (node.out.empty()) node.lastLife = std::max(node.lastLife, now - node.gap);
+    node.out.push_back(&cmd);
+    node.threads += cmd.profile().threads;
+    node.memory += cmd.grant;
+    double wait = timeout(cmd, node);
+    out.send(cmd, node.id, wait > 0 && now + wait < cmd.timeoutAt ? wait : 0);
+  }
+
+  // --- sweeps
+  void rest(Node& node, const char* why, double figure, double other) {
+    if (!node.resting) log("node %u rests: %s (%.2f against %.2f)", node.id, why, figure, other);
+    if (node.resting || now < node.wellSince + kRestLast)
+      node.restTime = std::min(node.restTime * 2, kRestLast);
+    else node.restTime = kRestFirst;
+    node.resting = true;
+    node.trials = 0;
+    node.restUntil = now + node.restTime;
+  }
+
+  void well(Node& node) {
+    node.resting = false;
+    node.wellSince = now;
+    node.fails = TimeRing(4);
+    log("node %u is back: %d trials answered", node.id, node.trials);
+  }
+
+  // Health: a node is to blame only for what the others don't show at the same time.
+  void judge(Node& node) {
+    if (node.resting) {
+      if (set.probing && node.trials == 0 && now >= node.restUntil && !node.probeOut && node.listed)
+        node.probeOut = true, out.probe(node.id);
+      return;
+    }
+    double fails = node.fails.sum(now), oks = node.oks.sum(now), otherFails = 0, otherOks = 0, usual = 1;
+    for (auto& [id, other] : nodes)
+      if (other.get() != &node && !other->resting)
+        otherFails += other->fails.sum(now), otherOks += other->oks.sum(now),
+            usual = std::max(usual, other->stretch);
+    double share = fails / std::max(fails + oks, 1.0);
+    double others = otherFails / std::max(otherFails + otherOks, 1.0);
+    if (fails >= 3 && share > 0.2 && share > 3 * others) return rest(node, "it fails", share, others);
+    double quiet = now - node.lastLife;
+    auto overdue = node.lost;  // by groups, since a load may hold up all commands of one
+    for (Cmd* cmd : node.out)
+      if (now - cmd->sentAt > 0.5 + 3 * cmd->atRest() * std::clamp(usual, 1.0, 4.0))
+        overdue.insert(cmd->tables);
+    double enough = std::max({0.5, 10 * node.gap, overdue.size() < 2 ? 2 + 2 * loadRun * loadsHold : 0.0});
+    if (overdue.empty() || quiet < enough) return;
+    int lively = 0, busy = 0;
+    for (auto& [id, other] : nodes) {
+      if (other.get() == &node || other->out.empty() || other->resting) continue;
+      ++busy;
+      if (now - other->lastLife < quiet / 2) ++lively;
+    }
+    if (busy == 0 || lively * 3 < busy) return;
+    rest(node, "silent", quiet, node.gap);
+    if (set.cancel)
+      for (Cmd* cmd : node.out)
+        if (!cmd->cancelled && cmd->profile().effect != Effect::nonReplayable)
+          cmd->cancelled = true, out.cancel(*cmd, cmd->sends - 1);
+  }
+
+  void moveMark(Node& node) {
+    double took = node.took.sum(now), atRest = node.rest.sum(now);
+    for (Cmd* cmd : node.out) {  // what is overdue tells before it ends
+      double elapsed = now - cmd->sentAt, rest = cmd->atRest();
+      if (elapsed > kFar * rest) took += std::min(elapsed, kRatioCap * rest), atRest += rest;
+    }
+    node.stretch = atRest > 0 ? took / atRest : 1;
+    bool far = node.stretch > kFar && !node.resting;
+    if (far) press(node);
+    if (!node.pressed) return;
+    if (far && node.threads > 0) node.limit = std::max(1.0, node.limit * kMarkFall);
+    else if (now > node.pressedUntil - kPressureHold / 2) node.limit *= kMarkRise;
+    if (now > node.pressedUntil && node.limit > 2.0 * set.gateways) node.pressed = false;
+  }
+
+  // Shedding: ends what can't be in time any more and, while the backlog needs more than a part of the slack
+  // that the held commands still have, what is worth least for its work. Meets bursts of all or of one tenant,
+  // costly commands, lost or slowed engines and retries alike; it hurts where estimates of work are badly off.
+  void shedHeld() {
+    std::vector<std::shared_ptr<Cmd>> waiting;
+    for (auto& cmd : held)
+      if (!cmd->over && !cmd->node) waiting.push_back(cmd);
+    held = waiting;
+    fresh = held.size();
+    double backlog = 0, slack = 0, worth = 0;
+    for (auto& cmd : waiting) {
+      if (hopeless(*cmd)) {
+        end(*cmd);
+        continue;
+      }
+      backlog += cmd->work;
+      slack += cmd->worth * std::max(0.0, cmd->targetAt - now - cmd->atRest());
+      worth += cmd->worth;
+    }
+    double cores = 0;
+    for (auto& [id, node] : nodes)
+      if (node->listed && !node->resting) cores += node->cores;
+    double rate = std::max(done.sum(now) / 3, 0.25 * cores * share());
+    if (backlog <= 0 || cores <= 0) return;
+    double room = rate * kBacklog * slack / worth;
+    if (backlog <= room || !pressure) return;
+    auto density = [&](const std::shared_ptr<Cmd>& cmd) { return worthNow(*cmd) / cmd->work; };
+    std::stable_sort(waiting.begin(), waiting.end(),
+                     [&](auto& a, auto& b) { return density(a) < density(b); });
+    if (!overload) log("overload: %.1f s of work held, room for %.1f", backlog, room);
+    overload = true;
+    overloadUntil = now + kOverloadHold;
+    for (auto& cmd : waiting) {
+      if (backlog <= room) break;
+      if (cmd->over) continue;
+      backlog -= cmd->work;
+      end(*cmd);
+    }
+  }
+
+  void sweep() {
+    bool any = false;
+    for (auto& [id, node] : nodes) {
+      moveMark(*node);
+      judge(*node);
+      any |= node->pressed && node->listed;
+    }
+    if (any != pressure) {
+      double worst = 0;
+      for (auto& [id, node] : nodes) worst = std::max(worst, node->stretch);
+      log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
+    }
+    pressure = any;
+    if (overload && now > overloadUntil) overload = false, log("overload over: %zu held", held.size());
+    shedHeld();
+  }
+
+  void wakeAt(double time) {
+    if (nextWake > now + kClock && nextWake <= time) return;
+    nextWake = time;
+    out.wake(time);
+  }
+
+  void settle() override {
+    if (askAt >= 0 && now >= askAt) askAt = -1, out.followList();
+    if (now >= nextSweep - kClock) nextSweep = now + kSweep, sweep();
+    for (; fresh < held.size(); ++fresh)
+      if (!held[fresh]->over && hopeless(*held[fresh])) end(*held[fresh]);
+    releaseKeys();
+    double first = -1;
+    while (Turn* turn = root.next(now)) {
+      Cmd& cmd = *turn->fifo.front();
+      double work = cmd.work;
+      if (start(cmd)) {
+        turn->pay(work);
+      } else {  // the loser waits and draws again; meanwhile other leaves take their turns
+        double size = std::clamp(work / std::max(usualWork, 1e-6), kWaitLeast, kWaitMost);
+        turn->wakeAt = now + size * chance.between(kWaitLow, kWaitHigh);
+        first = first < 0 ? turn->wakeAt : std::min(first, turn->wakeAt);
+      }
+    }
+    bool live = !held.empty() || std::any_of(nodes.begin(), nodes.end(), [](auto& n) {
+      return !n.second->out.empty() || n.second->pressed || n.second->resting;
+    });
+    if (first >= 0) wakeAt(std::min(first, std::max(nextSweep, now + 0.001)));
+    else if (live || overload) wakeAt(std::max(nextSweep, now + 0.001));
+  }
+
+  // --- state
   Settings set;
   Pcg32 chance;
   Outlet& out;
@@ -280,155 +765,8 @@
   double usualRun = 0, usualWork = 0;  // means over all commands
 };
 
-double mix(uint32_t node, uint64_t group) {  // rendezvous hash
-  uint64_t h = (group + 0x9e3779b97f4a7c15ULL) * 0xbf58476d1ce4e5b9ULL ^ (node * 0x94d049bb133111ebULL);
-  h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  h = (h ^ (h >> 27)) * 0x94d049bb133111ebULL;
-  return static_cast<double>((h ^ (h >> 31)) >> 11);
-}
-
-// --- commands in and out
-// ------------------------------------------------------------------------------------
-std::shared_ptr<Command> Core::take(const Arrival& arrival) {
-  auto row =
-      std::find_if(rows.begin(), rows.end(), [&](Row& r) { return r.profile->name == arrival.profile; });
-  if (row == rows.end()) throw std::runtime_error("a command of an unknown profile: " + arrival.profile);
-  auto cmd = std::make_shared<Cmd>(*this, *row);
-  const Profile& profile = *row->profile;
-  cmd->tables = arrival.tables;
-  if (profile.ordered) cmd->key = arrival.key;
-  cmd->estimate = arrival.work;
-  double guess = row->usualWork > 0 ? row->usualWork : profile.target * profile.threads / 2;
-  cmd->work = std::max(arrival.work > 0 ? arrival.work * row->workRatio : guess, 1e-4);
-  row->usualWork += (cmd->work - row->usualWork) * (row->usualWork > 0 ? 0.02 : 1);
-  usualWork += (cmd->work - usualWork) * (usualWork > 0 ? 0.02 : 1);
-  usualRun += (cmd->run() - usualRun) * (usualRun > 0 ? 0.02 : 1);
-  if (profile.load) loadRun += (cmd->run() - loadRun) * (loadRun > 0 ? 0.05 : 1);
-  cmd->memory = arrival.memoryMb * row->memoryRatio;
-  cmd->targetAt = now + profile.target + profile.targetStretch * cmd->run();
-  cmd->timeoutAt = now + arrival.timeLeft;
-  cmd->worth = profile.benefit;
-  taken.add(now, 1);
-  takenInSpan.add(now, 1);
-  double weight = 1;
-  if (auto found = seats.find(arrival.tenant); found != seats.end()) {
-    Seat& seat = found->second;
-    weight = std::max(seat.tenant->share * static_cast<double>(seats.size()), 0.01);
-    if (seat.tenant->quota >
-        0) {  // beyond its share? our part of the quota is at least our part of the traffic
-      double quotas = 0;
-      for (auto& tenant : set.tenants) quotas += tenant.quota;
-      trafficPart = taken.sum(now) / std::clamp(now - openedAt, 5.0, 20.0) / quotas;
-      double part = std::max(share(), trafficPart);
-      double rate = seat.tenant->quota * std::min(part, 1.0);
-      seat.tokens = std::min(seat.tokens + (now - seat.filledAt) * rate, rate * 2);
-      seat.filledAt = now;
-      if (seat.tokens >= 1) seat.tokens -= 1;
-      else cmd->worth *= set.overShareWorth;
-    }
-  }
-  cmd->leaf = &root.child(arrival.tenant, weight).child(profile.name, 1);
-  if (cmd->key) {
-    auto& line = keys[*cmd->key].line;
-    line.push_back(cmd);
-  } else {
-    hold(*cmd, false);
-  }
-  held.push_back(cmd);
-  return cmd;
-}
-
-void Core::hold(Cmd& cmd, bool first) {
-  auto& turn = *cmd.leaf;
-  if (turn.fifo.empty()) {  // an empty queue keeps neither debt nor credit
-    turn.ownDeficit = turn.deficit = 0;
-    if (turn.parent && !turn.parent->awake(now)) turn.parent->deficit = std::min(turn.parent->deficit, 0.0);
-  }
-  if (first) turn.fifo.push_front(cmd.shared_from_this());
-  else turn.fifo.push_back(cmd.shared_from_this());
-  cmd.held = true;
-}
-
-void Core::unhold(Cmd& cmd) {
-  auto& fifo = cmd.leaf->fifo;
-  fifo.erase(std::remove_if(fifo.begin(), fifo.end(), [&](auto& c) { return c.get() == &cmd; }), fifo.end());
-  cmd.held = false;
-}
-
-// The final answer, at once. A shed tells the client that a retry does no harm, so it is given only where
-// that holds: never run, replayable, or uniqued where every node knows the repeat (rule 2); else the command
-// fails.
-void Core::end(Cmd& cmd) {
-  if (cmd.over) return;
-  auto self = cmd.shared_from_this();
-  if (cmd.held) unhold(cmd);
-  cmd.over = true;
-  const Profile& profile = cmd.profile();
-  bool harmless = cmd.ranAt < 0 || profile.effect == Effect::replayable ||
-                  (profile.effect == Effect::uniqued && profile.group == Group::all);
-  if (cmd.node && profile.effect == Effect::nonReplayable) harmless = false;
-  if (harmless) out.shed(cmd, set.retryAfter && overload ? set.maxRetryAfter : 0);
-  else out.fail(cmd);
-  close(cmd);
-}
-
-// Over, and no send without an outcome: its key goes on.
-void Core::close(Cmd& cmd) {
-  if (!cmd.over || cmd.node || !cmd.key) return;
-  auto found = keys.find(*cmd.key);
-  if (found == keys.end()) return;
-  auto self = cmd.shared_from_this();
-  auto& line = found->second.line;
-  line.erase(std::remove(line.begin(), line.end(), self), line.end());
-}
-
-void Core::releaseKeys() {  // rule 5: one command of a key at a time, in order, after the quiet time
-  for (auto it = keys.begin(); it != keys.end();) {
-    KeyLine& key = it->second;
-    if (key.line.empty()) {
-      it = key.quietUntil <= now ? keys.erase(it) : std::next(it);
-      continue;
-    }
-    Cmd& first = *key.line.front();
-    if (!first.held && !first.over && !first.node && first.sends == 0) {
-      if (key.quietUntil <= now) hold(first, false);
-      else wakeAt(key.quietUntil);
-    }
-    ++it;
-  }
-}
-
-double Core::worthNow(const Cmd& cmd) const {
-  double late = now + 0.8 * cmd.atRest() > cmd.targetAt ? cmd.profile().lateShare : 1;
-  return cmd.worth * late;
-}
-
-bool Core::hopeless(const Cmd& cmd) const {
-  double left = cmd.timeoutAt - now;
-  return left < 2 * kSweep || left < 0.8 * cmd.atRest() || worthNow(cmd) <= 0;
-}
-
-bool Core::mayGoAgain(const Cmd& cmd) {
-  const Profile& profile = cmd.profile();
-  if (overload || cmd.sends > kFurther || cmd.sends >= set.maxSends || cmd.streaming) return false;
-  if (now + cmd.atRest() > cmd.timeoutAt || worthNow(cmd) <= 0) return false;
-  if (cmd.ranAt >= 0 && profile.effect == Effect::nonReplayable) return false;
-  if (cmd.ranAt >= 0 && profile.effect == Effect::uniqued && now >= cmd.ranAt + profile.memorySpan)
-    return false;
-  if (set.furtherSpan > 0 &&  // rule 7, counted to the safe side
-      further.sum(now) + 1 > set.furtherFree + set.furtherShare * takenInSpan.surely(now))
-    return false;
-  return true;
-}
-
-void Core::again(Cmd& cmd) {
-  if (!mayGoAgain(cmd)) return end(cmd);
-  hold(cmd, true);
-  held.push_back(cmd.shared_from_this());
-}
-
+// --- what happens to a command
 // --- what is seen
-// -------------------------------------------------------------------------------------------
 void Cmd::note(Topic topic, double) {
   if (!node) return;
   core.seeLife(*node);
@@ -457,13 +795,6 @@
   if (ran && ranAt < 0) ranAt = sentAt, ranOn.zone = was.zone, ranOn.cell = was.cell;
   if (key && (what == Outcome::expired || what == Outcome::reset || what == Outcome::cancelled))
     core.keys[*key].quietUntil = core.now + core.set.keyQuiet;
-  // Ghosts: a time-out that does not stop the work leaves it running, as far as we can tell.
-  if (!core.set.cancel && (what == Outcome::expired || what == Outcome::cancelled)) {
-    double left = std::max(atRest() * was.stretch * 1.5 - took, 0.5);
-    was.ghosts.push_back({core.now + left, profile().threads, grant, tables, profile().load});
-    was.threads += profile().threads;
-    was.memory += grant;
-  }
   if (what == Outcome::expired) {
     if (!profile().yields)
       row.took.add(core.now, took), row.rest.add(core.now, atRest());  // at least so long
@@ -498,401 +829,6 @@
   }
 }
 
-void Core::seeLife(Node& node) {
-  node.gap += (std::min(now - node.lastLife, 1.0) - node.gap) * 0.1;
-  node.lastLife = now;
-  node.lost.clear();
-}
-
-void Core::seeReport(Node& node, const Report* report) {
-  if (!report) return;
-  if (report->utilisation) {
-    if (*report->utilisation < kUtilisationCut) node.idleUntil = now + 0.5;
-    else press(node);
-  }
-  if (report->waiting.value_or(0) > 0.5 || report->disksBusy.value_or(0) > 0.97) press(node);
-}
-
-void Core::press(Node& node) {
-  if (!node.pressed) node.pressed = true, node.limit = 1;
-  node.pressedUntil = now + kPressureHold;
-}
-
-void Core::learn(Cmd& cmd, double took, const Bill* bill) {
-  Row& row = cmd.row;
-  if (bill && bill->work > 0) {
-    if (cmd.estimate > 0) {
-      double ratio = std::clamp(bill->work / cmd.estimate, 0.1, 10.0);
-      row.workRatio *= std::exp(0.03 * std::log(ratio / row.workRatio));
-      if (bill->memoryMb > 0 && cmd.memory > 0) {
-        double seen = std::clamp(bill->memoryMb / cmd.memory, 0.2, 5.0);  // against the corrected estimate
-        row.memoryRatio *= std::exp(0.03 * std::log(seen));
-      }
-    }
-    cmd.work = bill->work;
-  }
-  done.add(now, cmd.work);
-  double ratio = took / cmd.run();  // the best: a low quantile of latency over work
-  row.best *= ratio < row.best ? 0.97 : 1.005;
-  row.best = std::clamp(row.best, 0.4, 1.5);
-  row.took.add(now, took);
-  row.rest.add(now, cmd.atRest());
-}
-
-// --- engines
-// ------------------------------------------------------------------------------------------------
-void Core::list(ListKind kind, const std::vector<NodeRow>& given) {
-  if (kind == ListKind::error) {
-    askAt = now + chance.between(0.5, 1.0);
-    return wakeAt(askAt);
-  }
-  if (!listSeen && set.askForList) out.followList();
-  listSeen = true;
-  if (kind == ListKind::full)
-    for (auto& [id, node] : nodes) node->listed = false;
-  for (auto& row : given) {
-    auto& slot = nodes[row.id];
-    if (!slot) {
-      slot = std::make_unique<Node>();
-      slot->id = row.id;
-      slot->lastLife = now;
-      slot->coldWork = TimeRing(std::max(set.fallTime * 1.1, 0.001));
-    }
-    Node& node = *slot;
-    node.zone = row.zone, node.kind = row.kind, node.cell = row.cell;
-    for (auto& machine : set.kinds)
-      if (machine.name == row.kind)
-        node.cores = std::max(machine.cores, 1.0), node.memoryMb = machine.memoryMb;
-    node.listed = row.state == NodeState::inService;         // rule 3: at once, whatever the grace
-    if (row.startedAt && row.startedAt != node.startedAt) {  // a new process: what ran there is gone
-      for (auto& ghost : node.ghosts) node.threads -= ghost.threads, node.memory -= ghost.memory;
-      node.ghosts.clear();
-      if (node.resting) node.restUntil = std::min(node.restUntil, now);
-    }
-    node.startedAt = row.startedAt;
-  }
-}
-
-void Core::probed(uint32_t id, Outcome what, const Report* report) {
-  auto found = nodes.find(id);
-  if (found == nodes.end()) return;
-  Node& node = *found->second;
-  node.probeOut = false;
-  seeReport(node, report);
-  if (!node.resting) return;
-  if (what == Outcome::answered) node.trials = std::max(node.trials, 1);
-  else rest(node, "probe failed", 0, kTrials);
-}
-
-double Core::fill(const Node& node, const Cmd& cmd) const {  // part of its place that our load would take
-  if (node.threads == 0) return 0;
-  return (node.threads + cmd.profile().threads / 2.0) / able(node) / (kMark * share() * node.limit);
-}
-
-bool Core::fits(const Node& node,
-                const Cmd& cmd) const {  // memory runs short in one step: no chance above it
-  double part = std::min(1.0, std::max(share(), trafficPart) * (node.pressed ? node.limit : 1.0));
-  if (set.shortMemory == ShortMemory::overcommit) part = share();
-  return node.memoryMb <= 0 || node.memory <= 0 ||
-         node.memory + cmd.memory <= node.memoryMb * kMemoryUse * part;
-}
-
-// Does a load hold the command's group there? Ours do for sure; another gateway's shows in waiters of that
-// group that are overdue, or ran out of time, on a node that answers others.
-bool Core::holdsGroup(const Node& node, const Cmd& cmd) const {
-  if (!cmd.profile().yields && !cmd.profile().load) return false;
-  auto held = node.heldUntil.find(cmd.tables);
-  if (held != node.heldUntil.end() && now < held->second) return true;
-  for (Cmd* other : node.out) {
-    if (other->tables != cmd.tables) continue;
-    if (other->profile().load) return true;
-    if (other->profile().yields && now - other->sentAt > 0.05 + 2 * other->atRest() * node.stretch)
-      return true;
-  }
-  return std::any_of(node.ghosts.begin(), node.ghosts.end(),
-                     [&](const Ghost& ghost) { return ghost.load && ghost.tables == cmd.tables; });
-}
-
-bool Core::allowed(Node& node, const Cmd& cmd) {
-  const Profile& profile = cmd.profile();
-  auto open = [](const std::vector<std::string>& names, const std::string& name) {
-    return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
-  };
-  if (!node.listed || !open(profile.zonesOpen, node.zone) || !open(profile.kindsOpen, node.kind))
-    return false;
-  if (cmd.ranAt >= 0 && profile.effect == Effect::uniqued) {  // rule 2: inside the group that knows it
-    if (profile.group == Group::zone && node.zone != cmd.ranOn.zone) return false;
-    if (profile.group == Group::cell && (node.cell != cmd.ranOn.cell || node.zone != cmd.ranOn.zone))
-      return false;
-  }
-  if (now < node.fullUntil) return false;
-  if (node.resting) {  // trials: one at a time, of what may run again and is short
-    if (now < node.restUntil || node.trialOut || (set.probing && node.trials == 0)) return false;
-    if (profile.effect != Effect::replayable || cmd.run() > usualRun || cmd.sends > 0) return false;
-  }
-  if (cold(node)) {  // rule 4: our part of the budget, by the usual work of the profile
-    if (now < openedAt + set.fallTime) return false;  // an earlier life of this gateway may have sent
-    double budget = set.fallMultiple * set.coldFrom * kSafeCapacity * node.cores * set.fallTime * share();
-    if (node.coldWork.sum(now) + std::max(cmd.work, cmd.row.usualWork) > budget) return false;
-  }
-  return fits(node, cmd) && !holdsGroup(node, cmd);
-}
-
-// The least-loaded engine, or rather the first in its group's rank that stands not far above it. Nodes with a
-// place come before those without; a crossing of zones, where it is charged, counts as load.
-Node* Core::pick(Cmd& cmd) {
-  struct Choice {
-    Node* node;
-    double load, rank;
-    bool place;
-  };
-  std::vector<Choice> choices;
-  bool anyPlace = false;
-  double part = std::min(1.0, std::max(share(), trafficPart));
-  bool apart = loadsHold && (cmd.profile().load || cmd.profile().yields);
-  for (auto& [id, node] : nodes) {
-    if (!allowed(*node, cmd)) continue;
-    double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone * part : 0;
-    double rank = mix(id, cmd.tables);
-    if (apart) {  // a group's loads to the last third of its rank, those that would wait for them to the rest
-      long listed = 0, behind = 0;
-      for (auto& [otherId, other] : nodes)
-        if (other->listed) ++listed, behind += mix(otherId, cmd.tables) < rank;
-      if ((behind * 3 < listed) != cmd.profile().load) extra += kApart * part;
-      if (cmd.profile().load)
-        rank = mix(id, cmd.tables ^ salt);  // gateways spread their loads unlike each other
-    }
-    if (node->resting) extra -= 1e6;  // a trial that is due is taken
-    if (node.get() == cmd.avoid) extra += 1e6;
-    bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
-    anyPlace |= place;
-    choices.push_back({node.get(), load(*node) + extra, rank, place});
-  }
-  const Choice* least = nullptr;
-  for (auto& choice : choices)
-    if (choice.place == anyPlace && (!least || choice.load < least->load)) least = &choice;
-  const Choice* first = least;
-  for (auto& choice : choices)
-    if (choice.place == anyPlace && choice.load <= least->load + kBand * part && choice.rank > first->rank)
-      first = &choice;
-  return first ? first->node : nullptr;
-}
-
-// --- starts
-// -------------------------------------------------------------------------------------------------
-bool Core::start(Cmd& cmd) {
-  Node* node = pick(cmd);
-  if (!node) return false;
-  if (node->pressed && now >= node->idleUntil) {
-    double use = fill(*node, cmd);
-    if (use >= 1 && chance.unit() >= 2 - use) return false;
-  }
-  send(cmd, *node);
-  return true;
-}
-
-double Core::timeout(const Cmd& cmd, const Node& node) const {
-  const Profile& profile = cmd.profile();
-  bool last = cmd.sends > kFurther || cmd.sends >= set.maxSends;  // counted after this send
-  if (profile.effect == Effect::nonReplayable || last) return 0;
-  double took = cmd.row.took.sum(now), rested = cmd.row.rest.sum(now);
-  double slow = std::max(node.stretch, rested > 0 ? took / rested : 1);
-  double usual = cmd.atRest() * std::clamp(slow, 1.0, 6.0);
-  if (set.cancel) return 3 * usual + 0.1;  // stopping frees the node, so a bad plan is cut early
-  if (overload || node.pressed) return 0;  // it would run on beside its successor
-  return std::max({3 * usual, cmd.targetAt - now - 1.5 * usual, 0.3});
-}
-
-void Core::send(Cmd& cmd, Node& node) {
-  unhold(cmd);
-  cmd.node = &node;
-  cmd.sentAt = now;
-  if (cmd.sends++ > 0) further.add(now, 1);
-  cmd.grant = cmd.memory;
-  int priority = 1;
-  if (set.priorities) {  // the shorter, the sooner; loads first where others wait for them
-    double run = cmd.run() / std::max(usualRun, 1e-6);
-    priority = run < 0.5 ? 3 : run < 1.5 ? 2 : run < 4 ? 1 : 0;
-    if (cmd.profile().load && loadsHold) priority = 3;
-  }
-  double grant = 0;
-  if (set.grants && cmd.memory > 0) {
-    grant = cmd.memory * kGrantSpare;
-    if (node.memoryMb > 0) grant = std::min(grant, node.memoryMb * set.maxGrantShare);
-  }
-  if (set.priorities || grant > 0) out.terms(cmd, priority, grant);
-  if (cold(node)) node.coldWork.add(now, std::max(cmd.work, cmd.row.usualWork));
-  if (node.resting) cmd.trial = node.trialOut = true;
-  if (node.out.empty()) node.lastLife = std::max(node.lastLife, now - node.gap);
-  node.out.push_back(&cmd);
-  node.threads += cmd.profile().threads;
-  node.memory += cmd.grant;
-  double wait = timeout(cmd, node);
-  out.send(cmd, node.id, wait > 0 && now + wait < cmd.timeoutAt ? wait : 0);
-}
-
-// --- sweeps
-// -------------------------------------------------------------------------------------------------
-void Core::rest(Node& node, const char* why, double figure, double other) {
-  if (!node.resting) log("node %u rests: %s (%.2f against %.2f)", node.id, why, figure, other);
-  if (node.resting || now < node.wellSince + kRestLast)
-    node.restTime = std::min(node.restTime * 2, kRestLast);
-  else node.restTime = kRestFirst;
-  node.resting = true;
-  node.trials = 0;
-  node.restUntil = now + node.restTime;
-}
-
-void Core::well(Node& node) {
-  node.resting = false;
-  node.wellSince = now;
-  node.fails = TimeRing(4);
-  log("node %u is back: %d trials answered", node.id, node.trials);
-}
-
-// Health: a node is to blame only for what the others don't show at the same time.
-void Core::judge(Node& node) {
-  if (node.resting) {
-    if (set.probing && node.trials == 0 && now >= node.restUntil && !node.probeOut && node.listed)
-      node.probeOut = true, out.probe(node.id);
-    return;
-  }
-  double fails = node.fails.sum(now), oks = node.oks.sum(now), otherFails = 0, otherOks = 0, usual = 1;
-  for (auto& [id, other] : nodes)
-    if (other.get() != &node && !other->resting)
-      otherFails += other->fails.sum(now), otherOks += other->oks.sum(now),
-          usual = std::max(usual, other->stretch);
-  double share = fails / std::max(fails + oks, 1.0);
-  double others = otherFails / std::max(otherFails + otherOks, 1.0);
-  if (fails >= 3 && share > 0.2 && share > 3 * others) return rest(node, "it fails", share, others);
-  double quiet = now - node.lastLife;
-  auto overdue = node.lost;  // by groups, since a load may hold up all commands of one
-  for (Cmd* cmd : node.out)
-    if (now - cmd->sentAt > 0.5 + 3 * cmd->atRest() * std::clamp(usual, 1.0, 4.0)) overdue.insert(cmd->tables);
-  double enough = std::max({0.5, 10 * node.gap, overdue.size() < 2 ? 2 + 2 * loadRun * loadsHold : 0.0});
-  if (overdue.empty() || quiet < enough) return;
-  int lively = 0, busy = 0;
-  for (auto& [id, other] : nodes) {
-    if (other.get() == &node || other->out.empty() || other->resting) continue;
-    ++busy;
-    if (now - other->lastLife < quiet / 2) ++lively;
-  }
-  if (busy == 0 || lively * 3 < busy) return;
-  rest(node, "silent", quiet, node.gap);
-  if (set.cancel)
-    for (Cmd* cmd : node.out)
-      if (!cmd->cancelled && cmd->profile().effect != Effect::nonReplayable)
-        cmd->cancelled = true, out.cancel(*cmd, cmd->sends - 1);
-}
-
-void Core::moveMark(Node& node) {
-  double took = node.took.sum(now), atRest = node.rest.sum(now);
-  for (Cmd* cmd : node.out) {  // what is overdue tells before it ends
-    double elapsed = now - cmd->sentAt, rest = cmd->atRest();
-    if (elapsed > kFar * rest)
-      took += std::min(elapsed, kRatioCap * rest), atRest += rest;
-  }
-  node.stretch = atRest > 0 ? took / atRest : 1;
-  bool far = node.stretch > kFar && !node.resting;
-  if (far) press(node);
-  if (!node.pressed) return;
-  if (far && node.threads > 0) node.limit = std::max(1.0, node.limit * kMarkFall);
-  else if (now > node.pressedUntil - kPressureHold / 2) node.limit *= kMarkRise;
-  if (now > node.pressedUntil && node.limit > 2.0 * set.gateways) node.pressed = false;
-}
-
-// Shedding: ends what can't be in time any more and, while the backlog needs more than a part of the slack
-// that the held commands still have, what is worth least for its work. Meets bursts of all or of one tenant,
-// costly commands, lost or slowed engines and retries alike; it hurts where estimates of work are badly off.
-void Core::shedHeld() {
-  std::vector<std::shared_ptr<Cmd>> waiting;
-  for (auto& cmd : held)
-    if (!cmd->over && !cmd->node) waiting.push_back(cmd);
-  held = waiting;
-  fresh = held.size();
-  double backlog = 0, slack = 0, worth = 0;
-  for (auto& cmd : waiting) {
-    if (hopeless(*cmd)) {
-      end(*cmd);
-      continue;
-    }
-    backlog += cmd->work;
-    slack += cmd->worth * std::max(0.0, cmd->targetAt - now - cmd->atRest());
-    worth += cmd->worth;
-  }
-  double cores = 0;
-  for (auto& [id, node] : nodes)
-    if (node->listed && !node->resting) cores += node->cores;
-  double rate = std::max(done.sum(now) / 3, 0.25 * cores * share());
-  if (backlog <= 0 || cores <= 0) return;
-  double room = rate * kBacklog * slack / worth;
-  if (backlog <= room || !pressure) return;
-  auto density = [&](const std::shared_ptr<Cmd>& cmd) { return worthNow(*cmd) / cmd->work; };
-  std::stable_sort(waiting.begin(), waiting.end(), [&](auto& a, auto& b) { return density(a) < density(b); });
-  if (!overload) log("overload: %.1f s of work held, room for %.1f", backlog, room);
-  overload = true;
-  overloadUntil = now + kOverloadHold;
-  for (auto& cmd : waiting) {
-    if (backlog <= room) break;
-    if (cmd->over) continue;
-    backlog -= cmd->work;
-    end(*cmd);
-  }
-}
-
-void Core::sweep() {
-  bool any = false;
-  for (auto& [id, node] : nodes) {
-    std::erase_if(node->ghosts, [&](const Ghost& ghost) {
-      if (ghost.until > now) return false;
-      node->threads -= ghost.threads, node->memory -= ghost.memory;
-      return true;
-    });
-    moveMark(*node);
-    judge(*node);
-    any |= node->pressed && node->listed;
-  }
-  if (any != pressure) {
-    double worst = 0;
-    for (auto& [id, node] : nodes) worst = std::max(worst, node->stretch);
-    log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
-  }
-  pressure = any;
-  if (overload && now > overloadUntil) overload = false, log("overload over: %zu held", held.size());
-  shedHeld();
-}
-
-void Core::wakeAt(double time) {
-  if (nextWake > now + kClock && nextWake <= time) return;
-  nextWake = time;
-  out.wake(time);
-}
-
-void Core::settle() {
-  if (askAt >= 0 && now >= askAt) askAt = -1, out.followList();
-  if (now >= nextSweep - kClock) nextSweep = now + kSweep, sweep();
-  for (; fresh < held.size(); ++fresh)
-    if (!held[fresh]->over && hopeless(*held[fresh])) end(*held[fresh]);
-  releaseKeys();
-  double first = -1;
-  while (Turn* turn = root.next(now)) {
-    Cmd& cmd = *turn->fifo.front();
-    double work = cmd.work;
-    if (start(cmd)) {
-      turn->pay(work);
-    } else {  // the loser waits and draws again; meanwhile other leaves take their turns
-      double size = std::clamp(work / std::max(usualWork, 1e-6), kWaitLeast, kWaitMost);
-      turn->wakeAt = now + size * chance.between(kWaitLow, kWaitHigh);
-      first = first < 0 ? turn->wakeAt : std::min(first, turn->wakeAt);
-    }
-  }
-  bool live = !held.empty() || std::any_of(nodes.begin(), nodes.end(), [](auto& n) {
-    return !n.second->out.empty() || !n.second->ghosts.empty() || n.second->pressed || n.second->resting;
-  });
-  if (first >= 0) wakeAt(std::min(first, std::max(nextSweep, now + 0.001)));
-  else if (live || overload) wakeAt(std::max(nextSweep, now + 0.001));
-}
-
 }  // namespace
 
 std::unique_ptr<Gateway> openGateway(const Settings& settings, uint64_t seed, Outlet& outlet) {
