--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,16 +1,15 @@
 // The decisions of elmcleat, all of them. The host opens one gateway (openGateway, at the end), tells it the
-// time and what happens, and calls settle(); the interface is src/policy.h, the reasons stand in
-// docs/design.md.
+// time and what happens, and calls settle(). Interface: src/policy.h; reasons and sources: docs/design.md.
 //
-// The ordinary path is DESIGN's: nested queues (tenant, then profile), FIFO leaves, round-robin turns, a
-// start on the least-loaded engine while this gateway's threads a core stay under the mark, by chance above
-// it. Beside it stand six mechanisms:
-//   1. health      nodes that fail or fall silent while others answer rest, and come back by trials
-//   2. cold start  a node that has just started gets no more work than our part of its budget
-//   3. ghosts      work that may still run after a time-out counts as load
-//   4. shedding    what can't be in time, or is worth least for its work, is shed early under overload
-//   5. estimates   corrected by bills and latencies; time-outs follow from them
-//   6. grants      memory and priority by estimate; no place where memory would run out
+// The ordinary path is DESIGN's: nested queues (tenant, then profile), FIFO leaves, round-robin turns paid in
+// work, a start on the least-loaded engine while our threads a core stay under the mark, by chance above it.
+// Beside it stand six mechanisms:
+//   1. health       nodes that fail or fall silent while others answer rest, and come back by trials
+//   2. cold start   a node that has just started gets no more work than our part of its budget
+//   3. shedding     what can't be in time, or is worth least for its work, ends early under overload
+//   4. estimates    corrected by bills and latencies; time-outs follow from them
+//   5. grants       memory and priority by estimate; no start where memory would run out
+//   6. held groups  who would wait for a load on its group of tables keeps off that load's node
 #include "policy.h"
 
 #include <algorithm>
@@ -19,6 +18,8 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <tuple>
+#include <utility>
 
 #include "pcg32.h"
 #include "time_ring.h"
@@ -26,34 +27,32 @@
 namespace elmcleat {
 namespace {
 
-// --- tuned values
-constexpr double kMark = 2.0;  // threads a core, all gateways together
-constexpr double kUtilisationCut = 0.85;
-constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work
-constexpr double kWaitLeast = 0.2,
-                 kWaitMost = 3;        // the wait grows with the work, so that draws are paid as turns are
-constexpr double kFar = 1.6;           // latency this many times the best shows pressure
-constexpr double kRatioCap = 4.0;      // a single latency counts as no more, so that a bad plan says little
-constexpr double kPressureHold = 1.0;  // pressure lasts at least this long
-constexpr double kMarkFall = 0.8, kMarkRise = 1.04;  // how a node's mark moves, a sweep
-constexpr double kBand = 0.5;     // threads a core that the first in rank may stand above the least loaded
-constexpr double kFarZone = 1.0;  // the same, for nodes that cost a crossing
-constexpr double kApart =
-    1.0;  // the same, for the side of a group's rank that loads and readers leave each other
-constexpr double kSweep = 0.05;        // time between sweeps
-constexpr double kClock = 1e-6;        // the clock of the wire is no finer
-constexpr double kQuantum = 0.05;      // seconds of work that a turn pays for, at an average share
-constexpr double kMemoryUse = 0.85;    // part of a node's memory to fill
-constexpr double kGrantSpare = 1.4;    // grant over the corrected estimate
-constexpr double kSafeCapacity = 0.4;  // part of a cold node's cores that surely counts as its capacity
-constexpr double kRestFirst = 1.0, kRestLast = 8.0;  // rest of a failing node, doubled at each relapse
-constexpr double kFullFirst = 0.1,
-                 kFullLast = 1.0;  // no sends after a full refusal, doubled at each in a row
-constexpr int kTrials = 3;         // answered trials before a node counts as well
-constexpr int kFurther = 2;        // further sends, while no overload is seen
-constexpr double kOverloadHold =
-    2.0;                          // overload lasts this long after the last command shed for want of room
-constexpr double kBacklog = 0.2;  // part of the held commands' slack that the backlog may need
+// --- tuned values (seconds, threads a core, multiples)
+constexpr double kMark = 2;                            // threads a core, all gateways together
+constexpr double kUseCut = 0.85, kReportFresh = 0.5;   // a fresh report under the cut: under the mark
+constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work;
+constexpr double kWaitLeast = 0.2, kWaitMost = 3;      // it grows with the work: draws are paid as turns are
+constexpr double kQuantum = 0.05;                      // work that a turn pays for, at an average share
+constexpr double kFar = 1.6, kPressureHold = 1;        // latency over the best that shows pressure; its hold
+constexpr double kRatioCap = 4;                        // no latency counts as more: a bad plan says little
+constexpr double kMarkFall = 0.8, kMarkRise = 1.04;    // how the mark under pressure moves, a sweep
+constexpr double kBand = 0.5;               // how far the first in rank may stand above the least loaded;
+constexpr double kFarZone = 1, kApart = 1;  // so too a crossing that is charged, and a load's side of a rank
+constexpr double kSweep = 0.05, kClock = 1e-6;   // time between sweeps; no clock is finer
+constexpr double kMemoryUse = 0.85;              // part of a node's memory to fill
+constexpr double kGrantSpare = 1.4;              // grant over the corrected estimate
+constexpr double kSafeCapacity = 0.4;            // part of a cold node's cores that surely is its capacity
+constexpr double kRestFirst = 1, kRestLast = 8;  // rest of a failing node, doubled at each relapse
+constexpr double kFullPause = 0.3;               // no sends after a full refusal
+constexpr double kFailSpan = 4, kFailShare = 0.2,
+                 kFailLead = 3;  // failures that blame a node, over the others'
+constexpr double kQuiet = 0.5, kQuietGaps = 10, kQuietAlone = 2;  // silence that blames a node
+constexpr int kTrials = 3, kFurther = 2;  // trials answered before a node is well; further sends of a command
+constexpr double kBacklog = 0.2;          // part of the held commands' slack that the backlog may need
+constexpr double kOverloadHold = 2;  // overload lasts so long after the last command shed for want of room
+constexpr double kTooLate = 0.8;     // part of the run at rest that must still fit before target or end
+constexpr double kTimeoutRuns = 3;   // a send's time-out, in usual runs
+constexpr double kLearn = 0.02;      // weight of one more command in a mean
 
 // --- types
 struct Core;
@@ -81,6 +80,11 @@
     return ownAwake(now) ||
            std::any_of(children.begin(), children.end(), [&](auto& c) { return c->awake(now); });
   }
+  double wakes(double now) const {  // when the next waiting leaf draws again
+    double at = !fifo.empty() && wakeAt > now ? wakeAt : HUGE_VAL;
+    for (auto& c : children) at = std::min(at, c->wakes(now));
+    return at;
+  }
   Turn& child(const std::string& who, double share) {
     for (auto& c : children)
       if (c->name == who) return *c;
@@ -94,10 +98,9 @@
   Turn* next(double now) {
     size_t slots = children.size() + 1;
     auto live = [&](size_t i) { return i < children.size() ? children[i]->awake(now) : ownAwake(now); };
-    auto credit = [&](size_t i) -> double& {
-      return i < children.size() ? children[i]->deficit : ownDeficit;
-    };
-    auto quantum = [&](size_t i) { return kQuantum * (i < children.size() ? children[i]->weight : 1.0); };
+    auto child = [&](size_t i) { return i < children.size() ? children[i].get() : nullptr; };
+    auto credit = [&](size_t i) -> double& { return child(i) ? child(i)->deficit : ownDeficit; };
+    auto quantum = [&](size_t i) { return kQuantum * (child(i) ? child(i)->weight : 1.0); };
     for (int pass = 0; pass < 2; ++pass) {
       double rounds = -1;
       for (size_t step = 0; step < slots; ++step) {
@@ -123,7 +126,7 @@
   }
 };
 
-struct Seat {  // a tenant
+struct Seat {  // a tenant, and what of its share it has left now
   const Tenant* tenant = nullptr;
   double tokens = 0, filledAt = 0;
 };
@@ -138,18 +141,15 @@
   std::vector<Cmd*> out;
   int threads = 0;    // of our sends there
   double memory = 0;  // of our sends there
-  TimeRing took{1}, rest{1}, fails{4}, oks{4}, coldWork{1};
+  TimeRing took{1}, rest{1}, fails{kFailSpan}, oks{kFailSpan}, coldWork{1};
   double stretch = 1, limit = 1;  // latency over the best; what the mark is multiplied by under pressure
-  double pressedUntil = -1, idleUntil = -1;
-  bool pressed = false;
-  double fullUntil = 0, fullWait = 0;  // after a full refusal
-  double lastLife = 0, gap = 0.1;      // last sign of life, usual time between two
-  std::set<uint64_t> lost;             // groups of the sends timed out since then
-  bool resting = false;
+  double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
+  double lastLife = 0, gap = 0.1;  // last sign of life, usual time between two
+  std::set<uint64_t> lost;         // groups of the sends timed out since then
   double restUntil = 0, restTime = kRestFirst, wellSince = 0;
   int trials = 0;
   std::map<uint64_t, double> heldUntil;  // groups that a load of another gateway seems to hold
-  bool trialOut = false, probeOut = false;
+  bool pressed = false, resting = false, trialOut = false, probeOut = false;
 };
 
 struct KeyLine {  // commands of one key, in the order taken
@@ -178,7 +178,7 @@
   double sentAt = 0, ranAt = -1;  // ranAt: first send that may have run
   Node* node = nullptr;           // where a send is out
   Node* avoid = nullptr;          // where the last one failed
-  Node ranOn;                     // group of the first send that may have run
+  Node* ranOn = nullptr;          // and its node
   int sends = 0;
   bool held = false, over = false, streaming = false, trial = false, cancelled = false;
 };
@@ -201,11 +201,9 @@
     takenInSpan = TimeRing(std::max(set.furtherSpan, 0.001));
   }
 
-  void at(double time) override {
-    now = time;
-    if (openedAt < 0) openedAt = now;
-  }
+  void at(double time) override { now = time, openedAt = openedAt < 0 ? now : openedAt; }
   double share() const { return 1.0 / std::max(1, set.gateways); }
+  double part() const { return std::clamp(trafficPart, share(), 1.0); }  // of all traffic, at least
   bool cold(const Node& node) const { return node.startedAt && now < *node.startedAt + set.coldTime; }
   double load(const Node& node) const { return node.threads / able(node); }
   double able(const Node& node) const {  // cores; of a cold node the part that it surely has by now
@@ -221,8 +219,8 @@
 
   // --- commands in and out
   std::shared_ptr<Command> take(const Arrival& arrival) override {
-    auto row =
-        std::find_if(rows.begin(), rows.end(), [&](Row& r) { return r.profile->name == arrival.profile; });
+    auto named = [&](Row& r) { return r.profile->name == arrival.profile; };
+    auto row = std::find_if(rows.begin(), rows.end(), named);
     if (row == rows.end()) throw std::runtime_error("a command of an unknown profile: " + arrival.profile);
     auto cmd = std::make_shared<Cmd>(*this, *row);
     const Profile& profile = *row->profile;
@@ -231,10 +229,9 @@
     cmd->estimate = arrival.work;
     double guess = row->usualWork > 0 ? row->usualWork : profile.target * profile.threads / 2;
     cmd->work = std::max(arrival.work > 0 ? arrival.work * row->workRatio : guess, 1e-4);
-    row->usualWork += (cmd->work - row->usualWork) * (row->usualWork > 0 ? 0.02 : 1);
-    usualWork += (cmd->work - usualWork) * (usualWork > 0 ? 0.02 : 1);
-    usualRun += (cmd->run() - usualRun) * (usualRun > 0 ? 0.02 : 1);
-    if (profile.load) loadRun += (cmd->run() - loadRun) * (loadRun > 0 ? 0.05 : 1);
+    auto drift = [](double& mean, double value) { mean += (value - mean) * (mean > 0 ? kLearn : 1); };
+    drift(row->usualWork, cmd->work), drift(usualWork, cmd->work), drift(usualRun, cmd->run());
+    if (profile.load) drift(loadRun, cmd->run());
     cmd->memory = arrival.memoryMb * row->memoryRatio;
     cmd->targetAt = now + profile.target + profile.targetStretch * cmd->run();
     cmd->timeoutAt = now + arrival.timeLeft;
@@ -243,32 +240,31 @@
     takenInSpan.add(now, 1);
     double weight = 1;
     if (auto found = seats.find(arrival.tenant); found != seats.end()) {
-      Seat& seat = found->second;
-      weight = std::max(seat.tenant->share * static_cast<double>(seats.size()), 0.01);
-      if (seat.tenant->quota >
-          0) {  // beyond its share? our part of the quota is at least our part of the traffic
-        double quotas = 0;
-        for (auto& tenant : set.tenants) quotas += tenant.quota;
-        trafficPart = taken.sum(now) / std::clamp(now - openedAt, 5.0, 20.0) / quotas;
-        double part = std::max(share(), trafficPart);
-        double rate = seat.tenant->quota * std::min(part, 1.0);
-        seat.tokens = std::min(seat.tokens + (now - seat.filledAt) * rate, rate * 2);
-        seat.filledAt = now;
-        if (seat.tokens >= 1) seat.tokens -= 1;
-        else cmd->worth *= set.overShareWorth;
-      }
+      weight = std::max(found->second.tenant->share * static_cast<double>(seats.size()), 0.01);
+      if (beyondShare(found->second)) cmd->worth *= set.overShareWorth;
     }
     cmd->leaf = &root.child(arrival.tenant, weight).child(profile.name, 1);
-    if (cmd->key) {
-      auto& line = keys[*cmd->key].line;
-      line.push_back(cmd);
-    } else {
-      hold(*cmd, false);
-    }
+    if (cmd->key) keys[*cmd->key].line.push_back(cmd);
+    else hold(*cmd, false);
     held.push_back(cmd);
     return cmd;
   }
 
+  // Is one more command beyond its tenant's share? Gateways may carry unequal traffic, so our part of the
+  // quota is our part of the traffic where that is more.
+  bool beyondShare(Seat& seat) {
+    if (seat.tenant->quota <= 0) return false;
+    double quotas = 0;
+    for (auto& tenant : set.tenants) quotas += tenant.quota;
+    trafficPart = taken.sum(now) / std::clamp(now - openedAt, 5.0, 20.0) / quotas;
+    double rate = seat.tenant->quota * part();
+    seat.tokens = std::min(seat.tokens + (now - seat.filledAt) * rate, rate * 2);
+    seat.filledAt = now;
+    if (seat.tokens < 1) return true;
+    seat.tokens -= 1;
+    return false;
+  }
+
   void hold(Cmd& cmd, bool first) {
     auto& turn = *cmd.leaf;
     if (turn.fifo.empty()) {  // an empty queue keeps neither debt nor credit
@@ -281,24 +277,20 @@
   }
 
   void unhold(Cmd& cmd) {
-    auto& fifo = cmd.leaf->fifo;
-    fifo.erase(std::remove_if(fifo.begin(), fifo.end(), [&](auto& c) { return c.get() == &cmd; }),
-               fifo.end());
+    std::erase_if(cmd.leaf->fifo, [&](auto& other) { return other.get() == &cmd; });
     cmd.held = false;
   }
 
-  // The final answer, at once. A shed tells the client that a retry does no harm, so it is given only where
-  // that holds: never run, replayable, or uniqued where every node knows the repeat (rule 2); else the command
-  // fails.
+  // The final answer, at once. A shed says that a retry does no harm, so it is given only where that holds:
+  // never run, replayable, or uniqued where every node knows the repeat (rule 2).
   void end(Cmd& cmd) {
     if (cmd.over) return;
     auto self = cmd.shared_from_this();
     if (cmd.held) unhold(cmd);
     cmd.over = true;
     const Profile& profile = cmd.profile();
-    bool harmless = cmd.ranAt < 0 || profile.effect == Effect::replayable ||
-                    (profile.effect == Effect::uniqued && profile.group == Group::all);
-    if (cmd.node && profile.effect == Effect::nonReplayable) harmless = false;
+    bool known = profile.effect == Effect::uniqued && profile.group == Group::all;
+    bool harmless = cmd.ranAt < 0 || profile.effect == Effect::replayable || known;
     if (harmless) out.shed(cmd, set.retryAfter && overload ? set.maxRetryAfter : 0);
     else out.fail(cmd);
     close(cmd);
@@ -309,48 +301,38 @@
     if (!cmd.over || cmd.node || !cmd.key) return;
     auto found = keys.find(*cmd.key);
     if (found == keys.end()) return;
-    auto self = cmd.shared_from_this();
-    auto& line = found->second.line;
-    line.erase(std::remove(line.begin(), line.end(), self), line.end());
+    std::erase_if(found->second.line, [&](auto& other) { return other.get() == &cmd; });
   }
 
   void releaseKeys() {  // rule 5: one command of a key at a time, in order, after the quiet time
-    for (auto it = keys.begin(); it != keys.end();) {
-      KeyLine& key = it->second;
-      if (key.line.empty()) {
-        it = key.quietUntil <= now ? keys.erase(it) : std::next(it);
-        continue;
-      }
+    std::erase_if(keys, [&](auto& it) { return it.second.line.empty() && it.second.quietUntil <= now; });
+    for (auto& [id, key] : keys) {
+      if (key.line.empty()) continue;
       Cmd& first = *key.line.front();
-      if (!first.held && !first.over && !first.node && first.sends == 0) {
-        if (key.quietUntil <= now) hold(first, false);
-        else wakeAt(key.quietUntil);
-      }
-      ++it;
+      if (first.held || first.over || first.node || first.sends > 0) continue;
+      if (key.quietUntil <= now) hold(first, false);
+      else wakeAt(key.quietUntil);
     }
   }
 
   double worthNow(const Cmd& cmd) const {
-    double late = now + 0.8 * cmd.atRest() > cmd.targetAt ? cmd.profile().lateShare : 1;
-    return cmd.worth * late;
+    return cmd.worth * (now + kTooLate * cmd.atRest() > cmd.targetAt ? cmd.profile().lateShare : 1);
   }
-
   bool hopeless(const Cmd& cmd) const {
     double left = cmd.timeoutAt - now;
-    return left < 2 * kSweep || left < 0.8 * cmd.atRest() || worthNow(cmd) <= 0;
+    return left < 2 * kSweep || left < kTooLate * cmd.atRest() || worthNow(cmd) <= 0;
   }
 
+  // Rules 2 and 7 and the house rule, asked when a command is held again and once more at its send.
   bool mayGoAgain(const Cmd& cmd) {
     const Profile& profile = cmd.profile();
     if (overload || cmd.sends > kFurther || cmd.sends >= set.maxSends || cmd.streaming) return false;
     if (now + cmd.atRest() > cmd.timeoutAt || worthNow(cmd) <= 0) return false;
     if (cmd.ranAt >= 0 && profile.effect == Effect::nonReplayable) return false;
-    if (cmd.ranAt >= 0 && profile.effect == Effect::uniqued && now >= cmd.ranAt + profile.memorySpan)
-      return false;
-    if (set.furtherSpan > 0 &&  // rule 7, counted to the safe side
-        further.sum(now) + 1 > set.furtherFree + set.furtherShare * takenInSpan.surely(now))
-      return false;
-    return true;
+    bool known = profile.effect != Effect::uniqued || now < cmd.ranAt + profile.memorySpan;
+    if (cmd.ranAt >= 0 && !known) return false;
+    double budget = set.furtherFree + set.furtherShare * takenInSpan.surely(now);  // to the safe side
+    return set.furtherSpan <= 0 || further.sum(now) + 1 <= budget;
   }
 
   void again(Cmd& cmd) {
@@ -368,7 +350,7 @@
   void seeReport(Node& node, const Report* report) {
     if (!report) return;
     if (report->utilisation) {
-      if (*report->utilisation < kUtilisationCut) node.idleUntil = now + 0.5;
+      if (*report->utilisation < kUseCut) node.idleUntil = now + kReportFresh;
       else press(node);
     }
     if (report->waiting.value_or(0) > 0.5 || report->disksBusy.value_or(0) > 0.97) press(node);
@@ -382,14 +364,11 @@
   void learn(Cmd& cmd, double took, const Bill* bill) {
     Row& row = cmd.row;
     if (bill && bill->work > 0) {
-      if (cmd.estimate > 0) {
-        double ratio = std::clamp(bill->work / cmd.estimate, 0.1, 10.0);
-        row.workRatio *= std::exp(0.03 * std::log(ratio / row.workRatio));
-        if (bill->memoryMb > 0 && cmd.memory > 0) {
-          double seen = std::clamp(bill->memoryMb / cmd.memory, 0.2, 5.0);  // against the corrected estimate
-          row.memoryRatio *= std::exp(0.03 * std::log(seen));
-        }
-      }
+      auto toward = [](double& ratio, double seen) {
+        ratio *= std::pow(std::clamp(seen, 0.1, 10.0), kLearn);
+      };
+      if (cmd.estimate > 0) toward(row.workRatio, bill->work / cmd.estimate / row.workRatio);
+      if (bill->memoryMb > 0 && cmd.memory > 0) toward(row.memoryRatio, bill->memoryMb / cmd.memory);
       cmd.work = bill->work;
     }
     done.add(now, cmd.work);
@@ -402,10 +381,7 @@
 
   // --- engines
   void list(ListKind kind, const std::vector<NodeRow>& given) override {
-    if (kind == ListKind::error) {
-      askAt = now + chance.between(0.5, 1.0);
-      return wakeAt(askAt);
-    }
+    if (kind == ListKind::error) return askAt = now + chance.between(0.5, 1.0), wakeAt(askAt);
     if (!listSeen && set.askForList) out.followList();
     listSeen = true;
     if (kind == ListKind::full)
@@ -414,8 +390,7 @@
       auto& slot = nodes[row.id];
       if (!slot) {
         slot = std::make_unique<Node>();
-        slot->id = row.id;
-        slot->lastLife = now;
+        slot->id = row.id, slot->lastLife = now;
         slot->coldWork = TimeRing(std::max(set.fallTime * 1.1, 0.001));
       }
       Node& node = *slot;
@@ -423,10 +398,8 @@
       for (auto& machine : set.kinds)
         if (machine.name == row.kind)
           node.cores = std::max(machine.cores, 1.0), node.memoryMb = machine.memoryMb;
-      node.listed = row.state == NodeState::inService;         // rule 3: at once, whatever the grace
-      if (row.startedAt && row.startedAt != node.startedAt) {  // a new process: what ran there is gone
-        if (node.resting) node.restUntil = std::min(node.restUntil, now);
-      }
+      node.listed = row.state == NodeState::inService;  // rule 3: at once, whatever the grace
+      if (row.startedAt != node.startedAt) node.restUntil = std::min(node.restUntil, now);
       node.startedAt = row.startedAt;
     }
   }
@@ -447,20 +420,19 @@
     return (node.threads + cmd.profile().threads / 2.0) / able(node) / (kMark * share() * node.limit);
   }
 
-  bool fits(const Node& node,
-            const Cmd& cmd) const {  // memory runs short in one step: no chance above it
-    double part = std::min(1.0, std::max(share(), trafficPart) * (node.pressed ? node.limit : 1.0));
-    if (set.shortMemory == ShortMemory::overcommit) part = share();
-    return node.memoryMb <= 0 || node.memory <= 0 ||
-           node.memory + cmd.memory <= node.memoryMb * kMemoryUse * part;
+  bool fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
+    double ours = std::min(1.0, part() * (node.pressed ? node.limit : 1));
+    if (set.shortMemory == ShortMemory::overcommit) ours = share();
+    double free = node.memoryMb * kMemoryUse * ours - node.memory;
+    return node.memoryMb <= 0 || node.memory <= 0 || cmd.memory <= free;
   }
 
   // Does a load hold the command's group there? Ours do for sure; another gateway's shows in waiters of that
   // group that are overdue, or ran out of time, on a node that answers others.
   bool holdsGroup(const Node& node, const Cmd& cmd) const {
     if (!cmd.profile().yields && !cmd.profile().load) return false;
-    auto held = node.heldUntil.find(cmd.tables);
-    if (held != node.heldUntil.end() && now < held->second) return true;
+    auto until = node.heldUntil.find(cmd.tables);
+    if (until != node.heldUntil.end() && now < until->second) return true;
     for (Cmd* other : node.out) {
       if (other->tables != cmd.tables) continue;
       if (other->profile().load) return true;
@@ -478,14 +450,14 @@
     if (!node.listed || !open(profile.zonesOpen, node.zone) || !open(profile.kindsOpen, node.kind))
       return false;
     if (cmd.ranAt >= 0 && profile.effect == Effect::uniqued) {  // rule 2: inside the group that knows it
-      if (profile.group == Group::zone && node.zone != cmd.ranOn.zone) return false;
-      if (profile.group == Group::cell && (node.cell != cmd.ranOn.cell || node.zone != cmd.ranOn.zone))
-        return false;
+      if (profile.group != Group::all && node.zone != cmd.ranOn->zone) return false;
+      if (profile.group == Group::cell && node.cell != cmd.ranOn->cell) return false;
     }
     if (now < node.fullUntil) return false;
     if (node.resting) {  // trials: one at a time, of what may run again and is short
       if (now < node.restUntil || node.trialOut || (set.probing && node.trials == 0)) return false;
-      if (profile.effect != Effect::replayable || cmd.run() > usualRun || cmd.sends > 0) return false;
+      bool fit = profile.effect == Effect::replayable && cmd.run() <= usualRun && cmd.sends == 0;
+      if (!fit && now < node.restUntil + kRestLast) return false;
     }
     if (cold(node)) {  // rule 4: our part of the budget, by the usual work of the profile
       if (now < openedAt + set.fallTime) return false;  // an earlier life of this gateway may have sent
@@ -495,47 +467,36 @@
     return fits(node, cmd) && !holdsGroup(node, cmd);
   }
 
-  // The least-loaded engine, or rather the first in its group's rank that stands not far above it. Nodes with a
-  // place come before those without; a crossing of zones, where it is charged, counts as load.
+  // The least-loaded engine, or rather the first in its group's rank that stands not far above it.
+  // Nodes with a place come before those without; a crossing of zones, where it is charged, counts as load.
   Node* pick(Cmd& cmd) {
-    struct Choice {
-      Node* node;
-      double load, rank;
-      bool place;
-    };
-    std::vector<Choice> choices;
-    bool anyPlace = false;
-    double part = std::min(1.0, std::max(share(), trafficPart));
+    std::vector<std::tuple<Node*, double, double>> choices[2];  // node, load, rank; [1]: with a place
     bool apart = loadsHold && (cmd.profile().load || cmd.profile().yields);
     for (auto& [id, node] : nodes) {
       if (!allowed(*node, cmd)) continue;
-      double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone * part : 0;
+      double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone * part() : 0;
       double rank = mix(id, cmd.tables);
-      if (apart) {  // a group's loads to the last third of its rank, those that would wait for them to the rest
+      if (apart) {  // a group's loads to the last third of its rank, who would wait for them to the rest
         long listed = 0, behind = 0;
         for (auto& [otherId, other] : nodes)
           if (other->listed) ++listed, behind += mix(otherId, cmd.tables) < rank;
-        if ((behind * 3 < listed) != cmd.profile().load) extra += kApart * part;
-        if (cmd.profile().load)
-          rank = mix(id, cmd.tables ^ salt);  // gateways spread their loads unlike each other
+        if ((behind * 3 < listed) != cmd.profile().load) extra += kApart * part();
+        if (cmd.profile().load) rank = mix(id, cmd.tables ^ salt);  // spread unlike other gateways' loads
       }
       if (node->resting) extra -= 1e6;  // a trial that is due is taken
       if (node.get() == cmd.avoid) extra += 1e6;
       bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
-      anyPlace |= place;
-      choices.push_back({node.get(), load(*node) + extra, rank, place});
+      choices[place].push_back({node.get(), load(*node) + extra, rank});
     }
-    const Choice* least = nullptr;
-    for (auto& choice : choices)
-      if (choice.place == anyPlace && (!least || choice.load < least->load)) least = &choice;
-    const Choice* first = least;
-    for (auto& choice : choices)
-      if (choice.place == anyPlace && choice.load <= least->load + kBand * part && choice.rank > first->rank)
-        first = &choice;
-    return first ? first->node : nullptr;
+    auto& open = choices[choices[1].empty() ? 0 : 1];
+    double least = HUGE_VAL, best = -HUGE_VAL;
+    for (auto& [node, load, rank] : open) least = std::min(least, load);
+    Node* first = nullptr;
+    for (auto& [node, load, rank] : open)
+      if (load <= least + kBand * part() && rank > best) first = node, best = rank;
+    return first;
   }
 
-  // --- starts
   bool start(Cmd& cmd) {
     Node* node = pick(cmd);
     if (!node) return false;
@@ -554,17 +515,16 @@
     double took = cmd.row.took.sum(now), rested = cmd.row.rest.sum(now);
     double slow = std::max(node.stretch, rested > 0 ? took / rested : 1);
     double usual = cmd.atRest() * std::clamp(slow, 1.0, 6.0);
-    if (set.cancel) return 3 * usual + 0.1;  // stopping frees the node, so a bad plan is cut early
-    if (overload || node.pressed) return 0;  // it would run on beside its successor
-    return std::max({3 * usual, cmd.targetAt - now - 1.5 * usual, 0.3});
+    if (set.cancel)
+      return kTimeoutRuns * usual + 2 * kSweep;  // stopping frees the node, so a bad plan is cut early
+    if (overload || node.pressed) return 0;      // it would run on beside its successor
+    return std::max({kTimeoutRuns * usual, cmd.targetAt - now - kTimeoutRuns / 2 * usual, 6 * kSweep});
   }
 
   void send(Cmd& cmd, Node& node) {
     unhold(cmd);
-    cmd.node = &node;
-    cmd.sentAt = now;
+    cmd.node = &node, cmd.sentAt = now, cmd.grant = cmd.memory, cmd.cancelled = false;
     if (cmd.sends++ > 0) further.add(now, 1);
-    cmd.grant = cmd.memory;
     int priority = 1;
     if (set.priorities) {  // the shorter, the sooner; loads first where others wait for them
       double run = cmd.run() / std::max(usualRun, 1e-6);
@@ -590,18 +550,15 @@
   // --- sweeps
   void rest(Node& node, const char* why, double figure, double other) {
     if (!node.resting) log("node %u rests: %s (%.2f against %.2f)", node.id, why, figure, other);
-    if (node.resting || now < node.wellSince + kRestLast)
-      node.restTime = std::min(node.restTime * 2, kRestLast);
-    else node.restTime = kRestFirst;
-    node.resting = true;
-    node.trials = 0;
+    bool relapse = node.resting || now < node.wellSince + kRestLast;
+    node.restTime = relapse ? std::min(node.restTime * 2, kRestLast) : kRestFirst;
+    node.resting = true, node.trials = 0;
     node.restUntil = now + node.restTime;
   }
 
   void well(Node& node) {
-    node.resting = false;
-    node.wellSince = now;
-    node.fails = TimeRing(4);
+    node.resting = false, node.wellSince = now;
+    node.fails = TimeRing(kFailSpan);
     log("node %u is back: %d trials answered", node.id, node.trials);
   }
 
@@ -613,25 +570,26 @@
       return;
     }
     double fails = node.fails.sum(now), oks = node.oks.sum(now), otherFails = 0, otherOks = 0, usual = 1;
-    for (auto& [id, other] : nodes)
-      if (other.get() != &node && !other->resting)
-        otherFails += other->fails.sum(now), otherOks += other->oks.sum(now),
-            usual = std::max(usual, other->stretch);
+    for (auto& [id, other] : nodes) {
+      if (other.get() == &node || other->resting) continue;
+      otherFails += other->fails.sum(now), otherOks += other->oks.sum(now);
+      usual = std::max(usual, std::min(other->stretch, kRatioCap));
+    }
     double share = fails / std::max(fails + oks, 1.0);
     double others = otherFails / std::max(otherFails + otherOks, 1.0);
-    if (fails >= 3 && share > 0.2 && share > 3 * others) return rest(node, "it fails", share, others);
+    if (fails >= 3 && share > kFailShare && share > kFailLead * others)
+      return rest(node, "it fails", share, others);
     double quiet = now - node.lastLife;
     auto overdue = node.lost;  // by groups, since a load may hold up all commands of one
     for (Cmd* cmd : node.out)
-      if (now - cmd->sentAt > 0.5 + 3 * cmd->atRest() * std::clamp(usual, 1.0, 4.0))
-        overdue.insert(cmd->tables);
-    double enough = std::max({0.5, 10 * node.gap, overdue.size() < 2 ? 2 + 2 * loadRun * loadsHold : 0.0});
+      if (now - cmd->sentAt > kQuiet + kTimeoutRuns * cmd->atRest() * usual) overdue.insert(cmd->tables);
+    double alone = overdue.size() < 2 ? kQuietAlone + 2 * loadRun * loadsHold : 0;
+    double enough = std::max({kQuiet, kQuietGaps * node.gap, alone});
     if (overdue.empty() || quiet < enough) return;
     int lively = 0, busy = 0;
     for (auto& [id, other] : nodes) {
       if (other.get() == &node || other->out.empty() || other->resting) continue;
-      ++busy;
-      if (now - other->lastLife < quiet / 2) ++lively;
+      ++busy, lively += now - other->lastLife < quiet / 2;
     }
     if (busy == 0 || lively * 3 < busy) return;
     rest(node, "silent", quiet, node.gap);
@@ -657,23 +615,21 @@
   }
 
   // Shedding: ends what can't be in time any more and, while the backlog needs more than a part of the slack
-  // that the held commands still have, what is worth least for its work. Meets bursts of all or of one tenant,
-  // costly commands, lost or slowed engines and retries alike; it hurts where estimates of work are badly off.
+  // that the held commands still have, what is worth least for its work. Meets bursts of all or of a tenant,
+  // costly commands, lost or slowed engines and retries alike; hurts where estimates of work are badly off.
   void shedHeld() {
-    std::vector<std::shared_ptr<Cmd>> waiting;
-    for (auto& cmd : held)
-      if (!cmd->over && !cmd->node) waiting.push_back(cmd);
-    held = waiting;
+    std::erase_if(held, [](auto& cmd) { return cmd->over || cmd->node; });
     fresh = held.size();
+    std::vector<std::shared_ptr<Cmd>> waiting;
     double backlog = 0, slack = 0, worth = 0;
-    for (auto& cmd : waiting) {
+    for (auto& cmd : held) {
       if (hopeless(*cmd)) {
         end(*cmd);
         continue;
       }
-      backlog += cmd->work;
+      waiting.push_back(cmd);
+      backlog += cmd->work, worth += cmd->worth;
       slack += cmd->worth * std::max(0.0, cmd->targetAt - now - cmd->atRest());
-      worth += cmd->worth;
     }
     double cores = 0;
     for (auto& [id, node] : nodes)
@@ -682,15 +638,13 @@
     if (backlog <= 0 || cores <= 0) return;
     double room = rate * kBacklog * slack / worth;
     if (backlog <= room || !pressure) return;
-    auto density = [&](const std::shared_ptr<Cmd>& cmd) { return worthNow(*cmd) / cmd->work; };
-    std::stable_sort(waiting.begin(), waiting.end(),
-                     [&](auto& a, auto& b) { return density(a) < density(b); });
+    auto density = [&](auto& cmd) { return worthNow(*cmd) / cmd->work; };
+    auto less = [&](auto& a, auto& b) { return density(a) < density(b); };
+    std::stable_sort(waiting.begin(), waiting.end(), less);
     if (!overload) log("overload: %.1f s of work held, room for %.1f", backlog, room);
-    overload = true;
-    overloadUntil = now + kOverloadHold;
+    overload = true, overloadUntil = now + kOverloadHold;
     for (auto& cmd : waiting) {
       if (backlog <= room) break;
-      if (cmd->over) continue;
       backlog -= cmd->work;
       end(*cmd);
     }
@@ -698,16 +652,13 @@
 
   void sweep() {
     bool any = false;
+    double worst = 0;
     for (auto& [id, node] : nodes) {
       moveMark(*node);
       judge(*node);
-      any |= node->pressed && node->listed;
-    }
-    if (any != pressure) {
-      double worst = 0;
-      for (auto& [id, node] : nodes) worst = std::max(worst, node->stretch);
-      log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
+      any |= node->pressed && node->listed, worst = std::max(worst, node->stretch);
     }
+    if (any != pressure) log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
     pressure = any;
     if (overload && now > overloadUntil) overload = false, log("overload over: %zu held", held.size());
     shedHeld();
@@ -725,23 +676,22 @@
     for (; fresh < held.size(); ++fresh)
       if (!held[fresh]->over && hopeless(*held[fresh])) end(*held[fresh]);
     releaseKeys();
-    double first = -1;
     while (Turn* turn = root.next(now)) {
       Cmd& cmd = *turn->fifo.front();
       double work = cmd.work;
-      if (start(cmd)) {
+      if (hopeless(cmd) || (cmd.sends > 0 && !mayGoAgain(cmd))) {
+        end(cmd);
+      } else if (start(cmd)) {
         turn->pay(work);
       } else {  // the loser waits and draws again; meanwhile other leaves take their turns
         double size = std::clamp(work / std::max(usualWork, 1e-6), kWaitLeast, kWaitMost);
         turn->wakeAt = now + size * chance.between(kWaitLow, kWaitHigh);
-        first = first < 0 ? turn->wakeAt : std::min(first, turn->wakeAt);
       }
     }
-    bool live = !held.empty() || std::any_of(nodes.begin(), nodes.end(), [](auto& n) {
-      return !n.second->out.empty() || n.second->pressed || n.second->resting;
-    });
-    if (first >= 0) wakeAt(std::min(first, std::max(nextSweep, now + 0.001)));
-    else if (live || overload) wakeAt(std::max(nextSweep, now + 0.001));
+    bool live = overload || !held.empty() || std::any_of(nodes.begin(), nodes.end(), [](auto& it) {
+                  return !it.second->out.empty() || it.second->pressed || it.second->resting;
+                });
+    if (live) wakeAt(std::max(std::min(root.wakes(now), nextSweep), now + kClock));
   }
 
   // --- state
@@ -766,7 +716,6 @@
 };
 
 // --- what happens to a command
-// --- what is seen
 void Cmd::note(Topic topic, double) {
   if (!node) return;
   core.seeLife(*node);
@@ -789,10 +738,10 @@
   was.out.erase(std::remove(was.out.begin(), was.out.end(), this), was.out.end());
   was.threads -= profile().threads;
   was.memory -= grant;
-  bool ownTrial = trial;
-  if (trial) was.trialOut = false, trial = false;
+  bool ownTrial = std::exchange(trial, false);
+  if (ownTrial) was.trialOut = false;
   bool ran = what != Outcome::full && what != Outcome::connectFailed && what != Outcome::unused;
-  if (ran && ranAt < 0) ranAt = sentAt, ranOn.zone = was.zone, ranOn.cell = was.cell;
+  if (ran && ranAt < 0) ranAt = sentAt, ranOn = &was;
   if (key && (what == Outcome::expired || what == Outcome::reset || what == Outcome::cancelled))
     core.keys[*key].quietUntil = core.now + core.set.keyQuiet;
   if (what == Outcome::expired) {
@@ -801,32 +750,25 @@
     if (was.lastLife <= sentAt) was.lost.insert(tables);
     else if (profile().yields) was.heldUntil[tables] = core.now + core.loadRun / 2;
   }
-  if (what == Outcome::answered) was.oks.add(core.now, 1);
-  else if (what == Outcome::error) was.fails.add(core.now, 1);
-  else if (what == Outcome::connectFailed || what == Outcome::reset) was.fails.add(core.now, 2);
-  if (what == Outcome::answered || what == Outcome::error || what == Outcome::full) core.seeLife(was);
-  if (what == Outcome::full)
-    core.press(was), was.fullWait = std::clamp(was.fullWait * 2, kFullFirst, kFullLast),
-                     was.fullUntil = core.now + was.fullWait;
-  if (what == Outcome::answered) was.fullWait = 0;
-  if (ownTrial && was.resting) {
-    if (what == Outcome::answered) {
-      if (++was.trials >= kTrials) core.well(was);
-    } else if (what != Outcome::full && what != Outcome::unused) {
-      core.rest(was, "trial failed", was.trials, kTrials);
-    }
-  }
-  if (what == Outcome::answered) core.learn(*this, took, bill);
-  if (what == Outcome::answered && !ownTrial)
+  bool answered = what == Outcome::answered;
+  if (answered) was.oks.add(core.now, 1);
+  if (what == Outcome::error) was.fails.add(core.now, 1);
+  if (what == Outcome::connectFailed || what == Outcome::reset) was.fails.add(core.now, 2);
+  if (answered || what == Outcome::error || what == Outcome::full) core.seeLife(was);
+  if (what == Outcome::full) core.press(was), was.fullUntil = core.now + kFullPause;  // else it draws all
+  if (ownTrial && was.resting && answered && ++was.trials >= kTrials) {
+    core.well(was);
+  } else if (ownTrial && was.resting && !answered && what != Outcome::full && what != Outcome::unused) {
+    core.rest(was, "trial failed", was.trials, kTrials);
+  }
+  if (answered) core.learn(*this, took, bill);
+  if (answered && !ownTrial)
     was.took.add(core.now, std::min(took, kRatioCap * atRest())), was.rest.add(core.now, atRest());
   core.seeReport(was, report);
   avoid = &was;
-  if (final || over) {
-    over = true;
-    core.close(*this);
-  } else {
-    core.again(*this);
-  }
+  over |= final;
+  if (over) core.close(*this);
+  else core.again(*this);
 }
 
 }  // namespace
