--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -143,7 +143,7 @@
   double cores = 1, memoryMb = 0;
   bool listed = false;
   std::optional<double> startedAt;
-  std::vector<Cmd*> out;
+  std::vector<std::shared_ptr<Cmd>> out;
   int threads = 0;    // of our sends there
   double memory = 0;  // of our sends there
   TimeRing took{1}, rest{1}, fails{kFailSpan}, oks{kFailSpan}, coldWork{1};
@@ -430,7 +430,7 @@
     if (!cmd.profile().yields && !cmd.profile().load) return false;
     auto until = node.heldUntil.find(cmd.tables);
     if (until != node.heldUntil.end() && now < until->second) return true;
-    for (Cmd* other : node.out) {
+    for (auto& other : node.out) {
       if (other->tables != cmd.tables) continue;
       if (other->profile().load) return true;
       if (other->profile().yields && now - other->sentAt > 0.05 + 2 * other->atRest() * node.stretch)
@@ -536,7 +536,7 @@
     if (cold(node)) node.coldWork.add(now, std::max(cmd.work, cmd.row.usualWork));
     if (node.resting) cmd.trial = node.trialOut = true;
     if (node.out.empty()) node.lastLife = std::max(node.lastLife, now - node.gap);
-    node.out.push_back(&cmd);
+    node.out.push_back(cmd.shared_from_this());
     node.threads += cmd.profile().threads;
     node.memory += cmd.grant;
     double wait = timeout(cmd, node);
@@ -573,7 +573,7 @@
       return rest(node, "it fails", share, others);
     double quiet = now - node.lastLife;
     auto overdue = node.lost;  // by groups, since a load may hold up all commands of one
-    for (Cmd* cmd : node.out)
+    for (auto& cmd : node.out)
       if (now - cmd->sentAt > kQuiet + kTimeoutRuns * cmd->atRest() * usual) overdue.insert(cmd->tables);
     double alone = overdue.size() < 2 ? kQuietAlone + 2 * loadRun * loadsHold : 0;
     double enough = std::max({kQuiet, kQuietGaps * node.gap, alone});
@@ -587,14 +587,14 @@
     if (busy == 0 || lively * 3 < busy) return;
     rest(node, "silent", quiet, node.gap);
     if (set.cancel)
-      for (Cmd* cmd : node.out)
+      for (auto& cmd : node.out)
         if (!cmd->cancelled && cmd->profile().effect != Effect::nonReplayable)
           cmd->cancelled = true, out.cancel(*cmd, cmd->sends - 1);
   }
 
   void moveMark(Node& node) {
     double took = node.took.sum(now), atRest = node.rest.sum(now);
-    for (Cmd* cmd : node.out) {  // what is overdue tells before it ends
+    for (auto& cmd : node.out) {  // what is overdue tells before it ends
       double elapsed = now - cmd->sentAt, rest = cmd->atRest();
       if (elapsed > kFar * rest) took += std::min(elapsed, kRatioCap * rest), atRest += rest;
     }
@@ -727,7 +727,7 @@
   if (!node) return;
   Node& was = *node;
   node = nullptr;
-  was.out.erase(std::remove(was.out.begin(), was.out.end(), this), was.out.end());
+  std::erase(was.out, self);
   was.threads -= profile().threads;
   was.memory -= grant;
   bool ownTrial = std::exchange(trial, false);
