--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -131,11 +131,6 @@
   }
 };
 
-struct Seat {  // a tenant, and what of its share it has left now
-  const Tenant* tenant = nullptr;
-  double tokens = 0, filledAt = 0;
-};
-
 struct Node {
   uint32_t id = 0;
   std::string zone, kind;
@@ -153,7 +148,6 @@
   std::set<uint64_t> lost;         // groups of the sends timed out since then
   double restUntil = 0, restTime = kRestFirst, wellSince = 0;
   int trials = 0;
-  std::map<uint64_t, double> heldUntil;  // groups that a load of another gateway seems to hold
   bool pressed = false, resting = false, trialOut = false;
 };
 
@@ -199,7 +193,10 @@
   Core(const Settings& given, uint64_t seed, Outlet& to) : set(given), chance(seed), out(to) {
     rows.resize(set.profiles.size());
     for (size_t i = 0; i < rows.size(); ++i) rows[i].profile = &set.profiles[i];
-    for (auto& tenant : set.tenants) seats[tenant.name].tenant = &tenant;
+    for (auto& tenant : set.tenants) {
+      weights[tenant.name] = std::max(tenant.share * static_cast<double>(set.tenants.size()), 0.01);
+      quotas += tenant.quota;
+    }
     further = TimeRing(std::max(set.furtherSpan, 0.001));
     loadsHold = std::any_of(rows.begin(), rows.end(), [](Row& r) { return r.profile->yields; });
     takenInSpan = TimeRing(std::max(set.furtherSpan, 0.001));
@@ -241,34 +238,17 @@
     cmd->timeoutAt = now + arrival.timeLeft;
     cmd->worth = profile.benefit;
     taken.add(now, 1);
+    if (quotas > 0) trafficPart = taken.sum(now) / std::clamp(now - openedAt, 5.0, 20.0) / quotas;
     takenInSpan.add(now, 1);
-    double weight = 1;
-    if (auto found = seats.find(arrival.tenant); found != seats.end()) {
-      weight = std::max(found->second.tenant->share * static_cast<double>(seats.size()), 0.01);
-      if (beyondShare(found->second)) cmd->worth *= set.overShareWorth;
-    }
-    cmd->leaf = &root.child(arrival.tenant, weight).child(profile.name, 1);
+    auto weight = weights.find(arrival.tenant);
+    auto& branch = root.child(arrival.tenant, weight == weights.end() ? 1 : weight->second);
+    cmd->leaf = &branch.child(profile.name, 1);
     if (cmd->key) keys[*cmd->key].line.push_back(cmd);
     else hold(*cmd, false);
     held.push_back(cmd);
     return cmd;
   }
 
-  // Is one more command beyond its tenant's share? Gateways may carry unequal traffic, so our part of the
-  // quota is our part of the traffic where that is more.
-  bool beyondShare(Seat& seat) {
-    if (seat.tenant->quota <= 0) return false;
-    double quotas = 0;
-    for (auto& tenant : set.tenants) quotas += tenant.quota;
-    trafficPart = taken.sum(now) / std::clamp(now - openedAt, 5.0, 20.0) / quotas;
-    double rate = seat.tenant->quota * part();
-    seat.tokens = std::min(seat.tokens + (now - seat.filledAt) * rate, rate * 2);
-    seat.filledAt = now;
-    if (seat.tokens < 1) return true;
-    seat.tokens -= 1;
-    return false;
-  }
-
   void hold(Cmd& cmd, bool first) {
     auto& turn = *cmd.leaf;
     if (turn.fifo.empty()) {  // an empty queue keeps neither debt nor credit
@@ -425,11 +405,9 @@
   }
 
   // Does a load hold the command's group there? Ours do for sure; another gateway's shows in waiters of that
-  // group that are overdue, or ran out of time, on a node that answers others.
+  // group that are overdue.
   bool holdsGroup(const Node& node, const Cmd& cmd) const {
     if (!cmd.profile().yields && !cmd.profile().load) return false;
-    auto until = node.heldUntil.find(cmd.tables);
-    if (until != node.heldUntil.end() && now < until->second) return true;
     for (auto& other : node.out) {
       if (other->tables != cmd.tables) continue;
       if (other->profile().load) return true;
@@ -694,7 +672,8 @@
   double now = 0, openedAt = -1, nextSweep = 0, nextWake = -1, overloadUntil = -1, askAt = -1;
   bool overload = false, pressure = false, listSeen = false;
   std::vector<Row> rows;
-  std::map<std::string, Seat> seats;
+  std::map<std::string, double> weights;  // of the tenants' turns
+  double quotas = 0;                      // of all tenants, commands a second
   std::map<uint32_t, std::unique_ptr<Node>> nodes;
   std::map<uint64_t, KeyLine> keys;
   double loadRun = 0;      // mean run of a load
@@ -740,7 +719,6 @@
     if (!profile().yields)
       row.took.add(core.now, took), row.rest.add(core.now, atRest());  // at least so long
     if (was.lastLife <= sentAt) was.lost.insert(tables);
-    else if (profile().yields) was.heldUntil[tables] = core.now + core.loadRun / 2;
   }
   bool answered = what == Outcome::answered;
   if (answered) was.oks.add(core.now, 1);
