--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -49,7 +49,7 @@
 constexpr double kQuiet = 0.5, kQuietGaps = 10, kQuietAlone = 2;  // silence that blames a node
 constexpr int kTrials = 3, kFurther = 2;  // trials answered before a node is well; further sends of a command
 constexpr double kBacklog = 0.2;          // part of the held commands' slack that the backlog may need
-constexpr double kOverloadHold = 2;  // overload lasts so long after the last command shed for want of room
+constexpr double kOverloadHold = 0.5;  // overload lasts so long after the last command shed for want of room
 constexpr double kTooLate = 0.8;     // part of the run at rest that must still fit before target or end
 constexpr double kTimeoutRuns = 3;   // a send's time-out, in usual runs
 constexpr double kLearn = 0.02;      // weight of one more command in a mean
