--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -50,13 +50,12 @@
 constexpr int kTrials = 3, kFurther = 2;  // trials answered before a node is well; further sends of a command
 constexpr double kBacklog = 0.2;          // part of the held commands' slack that the backlog may need
 constexpr double kOverloadHold = 0.5;  // overload lasts so long after the last command shed for want of room
-constexpr double kTooLate = 0.8;     // part of the run at rest that must still fit before target or end
-constexpr double kTimeoutRuns = 3;   // a send's time-out, in usual runs
-constexpr double kLearn = 0.02;      // weight of one more command in a mean
+constexpr double kTooLate = 0.8;       // part of the run at rest that must still fit before target or end
+constexpr double kTimeoutRuns = 3;     // a send's time-out, in usual runs
+constexpr double kLearn = 0.02;        // weight of one more command in a mean
 
 // --- types
 struct Core;
-struct Node;
 struct Cmd;
 
 struct Row {  // one row a profile: what the module has learnt of it
@@ -101,8 +100,8 @@
   // a draw loses no service by it.
   Turn* next(double now) {
     size_t slots = children.size() + 1;
-    auto live = [&](size_t i) { return i < children.size() ? children[i]->awake(now) : ownAwake(now); };
     auto child = [&](size_t i) { return i < children.size() ? children[i].get() : nullptr; };
+    auto live = [&](size_t i) { return child(i) ? child(i)->awake(now) : ownAwake(now); };
     auto credit = [&](size_t i) -> double& { return child(i) ? child(i)->deficit : ownDeficit; };
     auto quantum = [&](size_t i) { return kQuantum * (child(i) ? child(i)->weight : 1.0); };
     for (int pass = 0; pass < 2; ++pass) {
@@ -110,10 +109,7 @@
       for (size_t step = 0; step < slots; ++step) {
         size_t i = (cursor + step) % slots;
         if (!live(i)) continue;
-        if (credit(i) > 0) {
-          cursor = i;
-          return i < children.size() ? children[i]->next(now) : this;
-        }
+        if (credit(i) > 0) return cursor = i, child(i) ? child(i)->next(now) : this;
         double need = std::floor(-credit(i) / quantum(i)) + 1;
         rounds = rounds < 0 ? need : std::min(rounds, need);
       }
@@ -193,10 +189,7 @@
   Core(const Settings& given, uint64_t seed, Outlet& to) : set(given), chance(seed), out(to) {
     rows.resize(set.profiles.size());
     for (size_t i = 0; i < rows.size(); ++i) rows[i].profile = &set.profiles[i];
-    for (auto& tenant : set.tenants) {
-      weights[tenant.name] = std::max(tenant.share * static_cast<double>(set.tenants.size()), 0.01);
-      quotas += tenant.quota;
-    }
+    for (auto& tenant : set.tenants) quotas += tenant.quota;
     further = TimeRing(std::max(set.furtherSpan, 0.001));
     loadsHold = std::any_of(rows.begin(), rows.end(), [](Row& r) { return r.profile->yields; });
     takenInSpan = TimeRing(std::max(set.furtherSpan, 0.001));
@@ -240,9 +233,10 @@
     taken.add(now, 1);
     if (quotas > 0) trafficPart = taken.sum(now) / std::clamp(now - openedAt, 5.0, 20.0) / quotas;
     takenInSpan.add(now, 1);
-    auto weight = weights.find(arrival.tenant);
-    auto& branch = root.child(arrival.tenant, weight == weights.end() ? 1 : weight->second);
-    cmd->leaf = &branch.child(profile.name, 1);
+    double weight = 1;
+    for (auto& tenant : set.tenants)
+      if (tenant.name == arrival.tenant) weight = std::max(tenant.share * double(set.tenants.size()), 0.01);
+    cmd->leaf = &root.child(arrival.tenant, weight).child(profile.name, 1);
     if (cmd->key) keys[*cmd->key].line.push_back(cmd);
     else hold(*cmd, false);
     held.push_back(cmd);
@@ -251,10 +245,8 @@
 
   void hold(Cmd& cmd, bool first) {
     auto& turn = *cmd.leaf;
-    if (turn.fifo.empty()) {  // an empty queue keeps neither debt nor credit
-      turn.ownDeficit = turn.deficit = 0;
-      if (turn.parent && !turn.parent->awake(now)) turn.parent->deficit = std::min(turn.parent->deficit, 0.0);
-    }
+    for (Turn* at = &turn; at->parent && !at->holds(); at = at->parent)
+      at->deficit = at->ownDeficit = 0;  // an empty queue keeps neither debt nor credit
     if (first) turn.fifo.push_front(cmd.shared_from_this());
     else turn.fifo.push_back(cmd.shared_from_this());
     cmd.held = true;
@@ -283,9 +275,8 @@
   // Over, and no send without an outcome: its key goes on.
   void close(Cmd& cmd) {
     if (!cmd.over || cmd.node || !cmd.key) return;
-    auto found = keys.find(*cmd.key);
-    if (found == keys.end()) return;
-    std::erase_if(found->second.line, [&](auto& other) { return other.get() == &cmd; });
+    auto& line = keys[*cmd.key].line;
+    std::erase_if(line, [&](auto& other) { return other.get() == &cmd; });
   }
 
   void releaseKeys() {  // rule 5: one command of a key at a time, in order, after the quiet time
@@ -489,9 +480,8 @@
     double took = cmd.row.took.sum(now), rested = cmd.row.rest.sum(now);
     double slow = std::max(node.stretch, rested > 0 ? took / rested : 1);
     double usual = cmd.atRest() * std::clamp(slow, 1.0, 6.0);
-    if (set.cancel)
-      return kTimeoutRuns * usual + 2 * kSweep;  // stopping frees the node, so a bad plan is cut early
-    if (overload || node.pressed) return 0;      // it would run on beside its successor
+    if (set.cancel) return kTimeoutRuns * usual + 2 * kSweep;  // it frees the node: a bad plan is cut
+    if (overload || node.pressed) return 0;                    // it would run on beside its successor
     return std::max({kTimeoutRuns * usual, cmd.targetAt - now - kTimeoutRuns / 2 * usual, 6 * kSweep});
   }
 
@@ -505,18 +495,14 @@
       priority = run < 0.5 ? 3 : run < 1.5 ? 2 : run < 4 ? 1 : 0;
       if (cmd.profile().load && loadsHold) priority = 3;
     }
-    double grant = 0;
-    if (set.grants && cmd.memory > 0) {
-      grant = cmd.memory * kGrantSpare;
-      if (node.memoryMb > 0) grant = std::min(grant, node.memoryMb * set.maxGrantShare);
-    }
+    double most = node.memoryMb > 0 ? node.memoryMb * set.maxGrantShare : HUGE_VAL;
+    double grant = set.grants ? std::min(cmd.memory * kGrantSpare, most) : 0;
     if (set.priorities || grant > 0) out.terms(cmd, priority, grant);
     if (cold(node)) node.coldWork.add(now, std::max(cmd.work, cmd.row.usualWork));
     if (node.resting) cmd.trial = node.trialOut = true;
     if (node.out.empty()) node.lastLife = std::max(node.lastLife, now - node.gap);
     node.out.push_back(cmd.shared_from_this());
-    node.threads += cmd.profile().threads;
-    node.memory += cmd.grant;
+    node.threads += cmd.profile().threads, node.memory += cmd.grant;
     double wait = timeout(cmd, node);
     out.send(cmd, node.id, wait > 0 && now + wait < cmd.timeoutAt ? wait : 0);
   }
@@ -526,8 +512,7 @@
     if (!node.resting) log("node %u rests: %s (%.2f against %.2f)", node.id, why, figure, other);
     bool relapse = node.resting || now < node.wellSince + kRestLast;
     node.restTime = relapse ? std::min(node.restTime * 2, kRestLast) : kRestFirst;
-    node.resting = true, node.trials = 0;
-    node.restUntil = now + node.restTime;
+    node.resting = true, node.trials = 0, node.restUntil = now + node.restTime;
   }
 
   void well(Node& node) {
@@ -589,16 +574,12 @@
   // that the held commands still have, what is worth least for its work. Meets bursts of all or of a tenant,
   // costly commands, lost or slowed engines and retries alike; hurts where estimates of work are badly off.
   void shedHeld() {
+    for (auto& cmd : held)
+      if (!cmd->over && !cmd->node && hopeless(*cmd)) end(*cmd);
     std::erase_if(held, [](auto& cmd) { return cmd->over || cmd->node; });
     fresh = held.size();
-    std::vector<std::shared_ptr<Cmd>> waiting;
     double backlog = 0, slack = 0, worth = 0;
     for (auto& cmd : held) {
-      if (hopeless(*cmd)) {
-        end(*cmd);
-        continue;
-      }
-      waiting.push_back(cmd);
       backlog += cmd->work, worth += cmd->worth;
       slack += cmd->worth * std::max(0.0, cmd->targetAt - now - cmd->atRest());
     }
@@ -611,6 +592,7 @@
     if (backlog <= room || !pressure) return;
     auto density = [&](auto& cmd) { return worthNow(*cmd) / cmd->work; };
     auto less = [&](auto& a, auto& b) { return density(a) < density(b); };
+    auto waiting = held;
     std::stable_sort(waiting.begin(), waiting.end(), less);
     if (!overload) log("overload: %.1f s of work held, room for %.1f", backlog, room);
     overload = true, overloadUntil = now + kOverloadHold;
@@ -672,8 +654,7 @@
   double now = 0, openedAt = -1, nextSweep = 0, nextWake = -1, overloadUntil = -1, askAt = -1;
   bool overload = false, pressure = false, listSeen = false;
   std::vector<Row> rows;
-  std::map<std::string, double> weights;  // of the tenants' turns
-  double quotas = 0;                      // of all tenants, commands a second
+  double quotas = 0;  // of all tenants, commands a second
   std::map<uint32_t, std::unique_ptr<Node>> nodes;
   std::map<uint64_t, KeyLine> keys;
   double loadRun = 0;      // mean run of a load
