--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -35,7 +35,8 @@
 constexpr double kQuantum = 0.05, kCredit = 40;        // work that a turn pays for; most turns put by
 constexpr double kFar = 1.6, kPressureHold = 1;        // latency over the best that shows pressure; its hold
 constexpr double kRatioCap = 4;                        // no latency counts as more: a bad plan says little
-constexpr double kMarkFall = 0.8, kMarkRise = 1.04;    // how the mark under pressure moves, a sweep
+constexpr double kMarkFall = 0.8, kMarkRise = 1.04;    // how the mark under pressure moves, a sweep;
+constexpr double kVeryFar = 2.4, kMarkEase = 0.98, kMarkLeast = 0.75;  // and below its value, if very far
 constexpr double kBand = 0.5;               // how far the first in rank may stand above the least loaded;
 constexpr double kFarZone = 1, kApart = 1;  // so too a crossing that is charged, and a load's side of a rank
 constexpr double kSweep = 0.05, kClock = 1e-6;   // time between sweeps; no clock is finer
@@ -350,8 +351,7 @@
     double ratio = took / cmd.run();  // the best: a low quantile of latency over work
     row.best *= ratio < row.best ? 0.97 : 1.005;
     row.best = std::clamp(row.best, 0.4, 1.5);
-    row.took.add(now, took);
-    row.rest.add(now, cmd.atRest());
+    row.took.add(now, took), row.rest.add(now, cmd.atRest());
   }
 
   // --- engines
@@ -565,8 +565,10 @@
     bool far = node.stretch > kFar && !node.resting;
     if (far) press(node);
     if (!node.pressed) return;
-    if (far && node.threads > 0) node.limit = std::max(1.0, node.limit * kMarkFall);
-    else if (now > node.pressedUntil - kPressureHold / 2) node.limit *= kMarkRise;
+    if (far && node.threads > 0) {  // well below the mark only where latency stays far off, as when disks jam
+      double least = node.stretch > kVeryFar ? kMarkLeast : std::min(1.0, node.limit);
+      node.limit = std::max(least, node.limit * (node.limit > 1 ? kMarkFall : kMarkEase));
+    } else if (now > node.pressedUntil - kPressureHold / 2) node.limit *= kMarkRise;
     if (now > node.pressedUntil && node.limit > 2.0 * set.gateways) node.pressed = false;
   }
 
