--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -169,7 +169,7 @@
   Turn* leaf = nullptr;
   uint64_t tables = 0;
   std::optional<uint64_t> key;
-  double estimate = 0, work = 0, memory = 0, grant = 0;
+  double estimate = 0, estimateMb = 0, work = 0, memory = 0, grant = 0;
   double targetAt = 0, timeoutAt = 0, worth = 0;
   double sentAt = 0, ranAt = -1;  // ranAt: first send that may have run
   Node* node = nullptr;           // where a send is out
@@ -221,7 +221,7 @@
     const Profile& profile = *row->profile;
     cmd->tables = arrival.tables;
     if (profile.ordered) cmd->key = arrival.key;
-    cmd->estimate = arrival.work;
+    cmd->estimate = arrival.work, cmd->estimateMb = arrival.memoryMb;
     double guess = row->usualWork > 0 ? row->usualWork : profile.target * profile.threads / 2;
     cmd->work = std::max(arrival.work > 0 ? arrival.work * row->workRatio : guess, 1e-4);
     auto drift = [](double& mean, double value) { mean += (value - mean) * (mean > 0 ? kLearn : 1); };
@@ -344,7 +344,8 @@
         ratio *= std::pow(std::clamp(seen, 0.1, 10.0), kLearn);
       };
       if (cmd.estimate > 0) toward(row.workRatio, bill->work / cmd.estimate / row.workRatio);
-      if (bill->memoryMb > 0 && cmd.memory > 0) toward(row.memoryRatio, bill->memoryMb / cmd.memory);
+      double raw = cmd.estimateMb * row.memoryRatio;  // by the ratio of now: an old one would swing up
+      if (bill->memoryMb > 0 && raw > 0) toward(row.memoryRatio, bill->memoryMb / raw);
       cmd.work = bill->work;
     }
     done.add(now, cmd.work);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -251,3 +251,19 @@
   scene.ends("small0", Outcome::error);
   scene.check("overload");
 }
+
+TEST_CASE("estimates of memory settle though bills come late and many at once") {
+  // Bills were held against the ratio at arrival; with hundreds out it swung up until nothing fitted any more.
+  Scene scene(Scene::site());
+  scene.nodes({1, 2});
+  for (int round = 0; round < 20; ++round) {
+    for (int i = 0; i < 200; ++i) scene.take(numbered("c", i), "quick", 0.01, "north", 1, {}, 0, 1);
+    Bill bill{0.01, 4};
+    for (int i = 0; i < 200; ++i)
+      scene.commands[numbered("c", i)]->outcome(Outcome::answered, 0.01, true, &bill, nullptr);
+    scene.to(scene.now + 0.5);
+  }
+  scene.sent.clear();
+  for (int i = 0; i < 100; ++i) scene.take(numbered("d", i), "quick", 0.01, "north", 1, {}, 0, 1);
+  CHECK_EQ(scene.sent[1] + scene.sent[2], 100);
+}
