--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -77,11 +77,10 @@
 
   bool ownAwake(double now) const { return !fifo.empty() && wakeAt <= now; }
   bool awake(double now) const {
-    return ownAwake(now) ||
-           std::any_of(children.begin(), children.end(), [&](auto& c) { return c->awake(now); });
+    return ownAwake(now) || std::ranges::any_of(children, [&](auto& c) { return c->awake(now); });
   }
   bool holds() const {
-    return !fifo.empty() || std::any_of(children.begin(), children.end(), [](auto& c) { return c->holds(); });
+    return !fifo.empty() || std::ranges::any_of(children, [](auto& c) { return c->holds(); });
   }
   double wakes(double now) const {  // when the next waiting leaf draws again
     double at = !fifo.empty() && wakeAt > now ? wakeAt : HUGE_VAL;
@@ -97,8 +96,7 @@
     return made;
   }
   // Deficit round-robin: the queue whose turn it is, or none. Who has credit goes on; when none has, all that
-  // hold something get the same number of quanta by weight, as many as give one of them credit: who waits for
-  // a draw loses no service by it.
+  // hold something get as many quanta by weight as give one credit: who waits for a draw loses no service.
   Turn* next(double now) {
     size_t slots = children.size() + 1;
     auto child = [&](size_t i) { return i < children.size() ? children[i].get() : nullptr; };
@@ -142,6 +140,7 @@
   double stretch = 1, limit = 1;  // latency over the best; what the mark is multiplied by under pressure
   double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
   double lastLife = 0, gap = 0.1;  // last sign of life, usual time between two
+  int late = 0;                    // sends overdue now
   std::set<uint64_t> lost;         // groups of the sends timed out since then
   double restUntil = 0, restTime = kRestFirst, wellSince = 0;
   int trials = 0;
@@ -192,7 +191,7 @@
     for (size_t i = 0; i < rows.size(); ++i) rows[i].profile = &set.profiles[i];
     for (auto& tenant : set.tenants) quotas += tenant.quota;
     further = TimeRing(std::max(set.furtherSpan, 0.001));
-    loadsHold = std::any_of(rows.begin(), rows.end(), [](Row& r) { return r.profile->yields; });
+    loadsHold = std::ranges::any_of(rows, [](Row& r) { return r.profile->yields; });
     takenInSpan = TimeRing(std::max(set.furtherSpan, 0.001));
   }
 
@@ -221,7 +220,7 @@
     const Profile& profile = *row->profile;
     cmd->tables = arrival.tables;
     if (profile.ordered) cmd->key = arrival.key;
-    cmd->estimate = arrival.work, cmd->estimateMb = arrival.memoryMb;
+    cmd->estimate = arrival.work, cmd->estimateMb = arrival.memoryMb, cmd->worth = profile.benefit;
     double guess = row->usualWork > 0 ? row->usualWork : profile.target * profile.threads / 2;
     cmd->work = std::max(arrival.work > 0 ? arrival.work * row->workRatio : guess, 1e-4);
     auto drift = [](double& mean, double value) { mean += (value - mean) * (mean > 0 ? kLearn : 1); };
@@ -230,7 +229,6 @@
     cmd->memory = arrival.memoryMb * row->memoryRatio;
     cmd->targetAt = now + profile.target + profile.targetStretch * cmd->run();
     cmd->timeoutAt = now + arrival.timeLeft;
-    cmd->worth = profile.benefit;
     taken.add(now, 1);
     if (quotas > 0) trafficPart = taken.sum(now) / std::clamp(now - openedAt, 5.0, 20.0) / quotas;
     takenInSpan.add(now, 1);
@@ -412,7 +410,7 @@
   bool allowed(Node& node, const Cmd& cmd) {
     const Profile& profile = cmd.profile();
     auto open = [](const std::vector<std::string>& names, const std::string& name) {
-      return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
+      return names.empty() || std::ranges::find(names, name) != names.end();
     };
     if (!node.listed || !open(profile.zonesOpen, node.zone) || !open(profile.kindsOpen, node.kind))
       return false;
@@ -525,20 +523,23 @@
   // Health: a node is to blame only for what the others don't show at the same time.
   void judge(Node& node) {
     if (node.resting) return;
-    double fails = node.fails.sum(now), oks = node.oks.sum(now), otherFails = 0, otherOks = 0, usual = 1;
+    double oks = node.oks.sum(now), otherFails = 0, otherOks = 0, usual = 1;
     for (auto& [id, other] : nodes) {
       if (other.get() == &node || other->resting) continue;
-      otherFails += other->fails.sum(now), otherOks += other->oks.sum(now);
+      otherFails += other->fails.sum(now) + other->late, otherOks += other->oks.sum(now);
       usual = std::max(usual, std::min(other->stretch, kRatioCap));
     }
-    double share = fails / std::max(fails + oks, 1.0);
-    double others = otherFails / std::max(otherFails + otherOks, 1.0);
-    if (fails >= 3 && share > kFailShare && share > kFailLead * others)
-      return rest(node, "it fails", share, others);
-    double quiet = now - node.lastLife;
     auto overdue = node.lost;  // by groups, since a load may hold up all commands of one
+    node.late = 0;
     for (auto& cmd : node.out)
-      if (now - cmd->sentAt > kQuiet + kTimeoutRuns * cmd->atRest() * usual) overdue.insert(cmd->tables);
+      if (now - cmd->sentAt > kQuiet + kTimeoutRuns * cmd->atRest() * usual)
+        overdue.insert(cmd->tables), node.late += !cmd->profile().yields && cmd->sentAt > node.wellSince;
+    double fails = node.fails.sum(now) + node.late, share = fails / std::max(fails + oks, 1.0);
+    double others = otherFails / std::max(otherFails + otherOks, 1.0);
+    bool worse = (fails + 1) * (otherOks + 1) > kFailLead * (otherFails + 1) * (oks + 1);  // by odds
+    double quiet = now - node.lastLife;
+    if (fails >= 3 && share > kFailShare && worse && quiet < kQuiet)
+      return rest(node, "it fails", share, others);
     double alone = overdue.size() < 2 ? kQuietAlone + 2 * loadRun * loadsHold : 0;
     double enough = std::max({kQuiet, kQuietGaps * node.gap, alone});
     if (overdue.empty() || quiet < enough) return;
@@ -594,9 +595,8 @@
     double room = rate * kBacklog * slack / worth;
     if (backlog <= room || !pressure) return;
     auto density = [&](auto& cmd) { return worthNow(*cmd) / cmd->work; };
-    auto less = [&](auto& a, auto& b) { return density(a) < density(b); };
     auto waiting = held;
-    std::stable_sort(waiting.begin(), waiting.end(), less);
+    std::ranges::stable_sort(waiting, {}, density);
     if (!overload) log("overload: %.1f s of work held, room for %.1f", backlog, room);
     overload = true, overloadUntil = now + kOverloadHold;
     for (auto& cmd : waiting) {
@@ -644,7 +644,7 @@
         turn->wakeAt = now + size * chance.between(kWaitLow, kWaitHigh);
       }
     }
-    bool live = overload || !held.empty() || std::any_of(nodes.begin(), nodes.end(), [](auto& it) {
+    bool live = overload || !held.empty() || std::ranges::any_of(nodes, [](auto& it) {
                   return !it.second->out.empty() || it.second->pressed || it.second->resting;
                 });
     if (live) wakeAt(std::max(std::min(root.wakes(now), nextSweep), now + kClock));
@@ -706,7 +706,7 @@
   }
   bool answered = what == Outcome::answered;
   if (answered) was.oks.add(core.now, 1);
-  if (what == Outcome::error) was.fails.add(core.now, 1);
+  if (what == Outcome::error || (what == Outcome::expired && !profile().yields)) was.fails.add(core.now, 1);
   if (what == Outcome::connectFailed || what == Outcome::reset) was.fails.add(core.now, 2);
   if (answered || what == Outcome::error || what == Outcome::full) core.seeLife(was);
   if (what == Outcome::full) core.press(was), was.fullUntil = core.now + kFullPause;  // else it draws all
