--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -17,13 +17,6 @@
 
 using Rows = std::vector<NodeRow>;
 
-template <typename T>
-T named(const std::string& word, std::initializer_list<std::pair<const char*, T>> words) {
-  for (auto& [name, value] : words)
-    if (word == name) return value;
-  throw std::invalid_argument("unknown word '" + word + "'");
-}
-
 Outcome readOutcome(const std::string& word) {
   return named<Outcome>(word, {{"delivered", Outcome::answered},
                                {"app_error", Outcome::error},
--- a/src/drill/settings.cpp
+++ b/src/drill/settings.cpp
@@ -1,7 +1,5 @@
 #include "settings.h"
 
-#include <stdexcept>
-
 namespace elmcleat::drill {
 namespace {
 
@@ -11,13 +9,6 @@
   return found == config.end() || found->is_null() ? none : *found;
 }
 
-template <typename T>
-T named(const std::string& word, std::initializer_list<std::pair<const char*, T>> words) {
-  for (auto& [name, value] : words)
-    if (word == name) return value;
-  throw std::invalid_argument("unknown word '" + word + "' in the settings");
-}
-
 Profile readProfile(const Json& row) {
   Profile profile;
   profile.name = row.at("name").get<std::string>();
