--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,7 +28,7 @@
 namespace {
 
 // --- tuned values (seconds, threads a core, multiples)
-constexpr double kMark = 2;                            // threads a core, all gateways together
+constexpr double kMark = 2, kEmptyUse = 1.8;           // threads a core, all gateways together
 constexpr double kUseCut = 0.85, kReportFresh = 0.5;   // a fresh report under the cut: under the mark
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work;
 constexpr double kWaitLeast = 0.2, kWaitMost = 3;      // it grows with the work: draws are paid as turns are
@@ -383,8 +383,8 @@
   }
 
   double fill(const Node& node, const Cmd& cmd) const {  // part of its place that our load would take
-    if (node.threads == 0) return 0;
-    return (node.threads + cmd.profile().threads / 2.0) / able(node) / (kMark * share() * node.limit);
+    double use = (node.threads + cmd.profile().threads / 2.0) / able(node) / (kMark * share() * node.limit);
+    return node.threads == 0 ? std::min(use, kEmptyUse) : use;
   }
 
   bool fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
