--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -281,3 +281,22 @@
   CHECK_NE(scene.trace.str().find("node 2 rests: it fails"), std::string::npos);
   CHECK_EQ(scene.trace.str().find("node 1 rests"), std::string::npos);
 }
+
+TEST_CASE("with many gateways an empty node is drawn for, not taken for granted") {
+  // Eleven gateways each put a wide command on a node that was empty of their own.
+  auto site = patient();
+  site.gateways = 11, site.profiles[1].threads = 4;
+  Scene scene(site);
+  scene.nodes({1});
+  int started = 0;
+  for (int i = 0; i < 30; ++i) {
+    press(scene);
+    scene.to(scene.now + 0.35);
+    auto c = numbered("c", i);
+    scene.take(c, "dear", 1);
+    if (scene.at.count(c)) ++started, scene.ends(c, Outcome::answered, 0.01);
+    else scene.commands[c]->withdrawn();
+  }
+  CHECK_GT(started, 5);
+  CHECK_LT(started, 30);
+}
