--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -76,15 +76,13 @@
   std::deque<std::shared_ptr<Cmd>> fifo;
 
   bool ownAwake(double now) const { return !fifo.empty() && wakeAt <= now; }
-  bool awake(double now) const {
-    return ownAwake(now) || std::ranges::any_of(children, [&](auto& c) { return c->awake(now); });
-  }
+  bool awake(double now) const { return wakes() <= now; }
   bool holds() const {
     return !fifo.empty() || std::ranges::any_of(children, [](auto& c) { return c->holds(); });
   }
-  double wakes(double now) const {  // when the next waiting leaf draws again
-    double at = !fifo.empty() && wakeAt > now ? wakeAt : HUGE_VAL;
-    for (auto& c : children) at = std::min(at, c->wakes(now));
+  double wakes() const {  // when the next leaf that holds something draws
+    double at = fifo.empty() ? HUGE_VAL : wakeAt;
+    for (auto& c : children) at = std::min(at, c->wakes());
     return at;
   }
   Turn& child(const std::string& who, double share) {
@@ -137,7 +135,7 @@
   int threads = 0;    // of our sends there
   double memory = 0;  // of our sends there
   TimeRing took{1}, rest{1}, fails{kFailSpan}, oks{kFailSpan}, coldWork{1};
-  double stretch = 1, limit = 1;  // latency over the best; what the mark is multiplied by under pressure
+  double stretch = 1, rested = 0, limit = 1;  // latency over the best, of how much; the mark's multiple
   double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
   double lastLife = 0, gap = 0.1;  // last sign of life, usual time between two
   int late = 0;                    // sends overdue now
@@ -213,8 +211,7 @@
 
   // --- commands in and out
   std::shared_ptr<Command> take(const Arrival& arrival) override {
-    auto named = [&](Row& r) { return r.profile->name == arrival.profile; };
-    auto row = std::find_if(rows.begin(), rows.end(), named);
+    auto row = std::ranges::find_if(rows, [&](Row& r) { return r.profile->name == arrival.profile; });
     if (row == rows.end()) throw std::runtime_error("a command of an unknown profile: " + arrival.profile);
     auto cmd = std::make_shared<Cmd>(*this, *row);
     const Profile& profile = *row->profile;
@@ -265,8 +262,7 @@
     cmd.over = true;
     const Profile& profile = cmd.profile();
     bool known = profile.effect == Effect::uniqued && profile.group == Group::all;
-    bool harmless = cmd.ranAt < 0 || profile.effect == Effect::replayable || known;
-    if (harmless) out.shed(cmd, set.retryAfter && overload ? set.maxRetryAfter : 0);
+    if (cmd.ranAt < 0 || profile.effect == Effect::replayable || known) out.shed(cmd, set.retryAfter && overload ? set.maxRetryAfter : 0);
     else out.fail(cmd);
     close(cmd);
   }
@@ -369,9 +365,8 @@
       }
       Node& node = *slot;
       node.zone = row.zone, node.kind = row.kind, node.cell = row.cell;
-      for (auto& machine : set.kinds)
-        if (machine.name == row.kind)
-          node.cores = std::max(machine.cores, 1.0), node.memoryMb = machine.memoryMb;
+      for (auto& known : set.kinds)
+        if (known.name == row.kind) node.cores = std::max(known.cores, 1.0), node.memoryMb = known.memoryMb;
       node.listed = row.state == NodeState::inService;  // rule 3: at once, whatever the grace
       if (row.startedAt != node.startedAt) node.restUntil = std::min(node.restUntil, now);
       node.startedAt = row.startedAt;
@@ -437,16 +432,16 @@
   Node* pick(Cmd& cmd) {
     std::vector<std::tuple<Node*, double, double>> choices[2];  // node, load, rank; [1]: with a place
     bool apart = loadsHold && (cmd.profile().load || cmd.profile().yields);
+    std::vector<double> ranks;  // a group's loads to the last third of its rank, their waiters to the rest
+    for (auto& [id, node] : nodes)
+      if (apart && node->listed) ranks.push_back(mix(id, cmd.tables));
+    auto side = ranks.begin() + long(ranks.size() + 2) / 3;
+    std::ranges::nth_element(ranks, side);
     for (auto& [id, node] : nodes) {
       if (!allowed(*node, cmd)) continue;
       double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone * part() : 0;
       double rank = mix(id, cmd.tables);
-      if (apart) {  // a group's loads to the last third of its rank, who would wait for them to the rest
-        long listed = 0, behind = 0;
-        for (auto& [otherId, other] : nodes)
-          if (other->listed) ++listed, behind += mix(otherId, cmd.tables) < rank;
-        if ((behind * 3 < listed) != cmd.profile().load) extra += kApart * part();
-      }
+      if (apart && (side != ranks.end() && rank < *side) != cmd.profile().load) extra += kApart * part();
       if (node->resting) extra -= 1e6;  // a trial that is due is taken
       if (node.get() == cmd.avoid) extra += 1e6;
       bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
@@ -520,21 +515,24 @@
     log("node %u is back: %d trials answered", node.id, node.trials);
   }
 
+  double stretchBut(const Node& node) const {  // latency over the best at the other nodes that don't rest
+    double rested = allRest - node.rested;
+    return rested > 0 ? std::clamp((allTook - node.rested * node.stretch) / rested, 1.0, kRatioCap) : 1;
+  }
+
   // Health: a node is to blame only for what the others don't show at the same time.
   void judge(Node& node) {
     if (node.resting) return;
-    double oks = node.oks.sum(now), otherFails = 0, otherOks = 0, usual = 1;
-    for (auto& [id, other] : nodes) {
-      if (other.get() == &node || other->resting) continue;
-      otherFails += other->fails.sum(now) + other->late, otherOks += other->oks.sum(now);
-      usual = std::max(usual, std::min(other->stretch, kRatioCap));
-    }
+    double oks = node.oks.sum(now), nodeFails = node.fails.sum(now);
+    double otherFails = allFails - nodeFails - node.late, otherOks = allOks - oks;
+    double usual = stretchBut(node);
     auto overdue = node.lost;  // by groups, since a load may hold up all commands of one
-    node.late = 0;
+    allFails -= std::exchange(node.late, 0);
     for (auto& cmd : node.out)
       if (now - cmd->sentAt > kQuiet + kTimeoutRuns * cmd->atRest() * usual)
         overdue.insert(cmd->tables), node.late += !cmd->profile().yields && cmd->sentAt > node.wellSince;
-    double fails = node.fails.sum(now) + node.late, share = fails / std::max(fails + oks, 1.0);
+    allFails += node.late;
+    double fails = nodeFails + node.late, share = fails / std::max(fails + oks, 1.0);
     double others = otherFails / std::max(otherFails + otherOks, 1.0);
     bool worse = (fails + 1) * otherOks > kFailLead * (otherFails + 1) * (oks + 1);  // by odds
     double quiet = now - node.lastLife;
@@ -560,10 +558,10 @@
   void moveMark(Node& node) {
     double took = node.took.sum(now), atRest = node.rest.sum(now);
     for (auto& cmd : node.out) {  // what is overdue tells before it ends
-      double elapsed = now - cmd->sentAt, rest = cmd->atRest();
-      if (elapsed > kFar * rest) took += std::min(elapsed, kRatioCap * rest), atRest += rest;
+      double past = now - cmd->sentAt, rest = cmd->atRest();
+      if (past > kFar * rest) took += std::min(past, kRatioCap * rest), atRest += rest;
     }
-    node.stretch = atRest > 0 ? took / atRest : 1;
+    node.stretch = atRest > 0 ? took / atRest : 1, node.rested = atRest;
     bool far = node.stretch > kFar && !node.resting;
     if (far) press(node);
     if (!node.pressed) return;
@@ -608,12 +606,15 @@
 
   void sweep() {
     bool any = false;
-    double worst = 0;
+    double worst = allFails = allOks = allRest = allTook = 0;
     for (auto& [id, node] : nodes) {
       moveMark(*node);
-      judge(*node);
       any |= node->pressed && node->listed, worst = std::max(worst, node->stretch);
+      if (node->resting) continue;
+      allFails += node->fails.sum(now) + node->late, allOks += node->oks.sum(now);
+      allRest += node->rested, allTook += node->rested * node->stretch;
     }
+    for (auto& [id, node] : nodes) judge(*node);
     if (any != pressure) log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
     pressure = any;
     if (overload && now > overloadUntil) overload = false, log("overload over: %zu held", held.size());
@@ -634,20 +635,19 @@
     releaseKeys();
     while (Turn* turn = root.next(now)) {
       Cmd& cmd = *turn->fifo.front();
-      double work = cmd.work;
       if (hopeless(cmd) || (cmd.sends > 0 && !mayGoAgain(cmd))) {
         end(cmd);
       } else if (start(cmd)) {
-        turn->pay(work);
+        turn->pay(cmd.work);
       } else {  // the loser waits and draws again; meanwhile other leaves take their turns
-        double size = std::clamp(work / std::max(usualWork, 1e-6), kWaitLeast, kWaitMost);
+        double size = std::clamp(cmd.work / std::max(usualWork, 1e-6), kWaitLeast, kWaitMost);
         turn->wakeAt = now + size * chance.between(kWaitLow, kWaitHigh);
       }
     }
     bool live = overload || !held.empty() || std::ranges::any_of(nodes, [](auto& it) {
                   return !it.second->out.empty() || it.second->pressed || it.second->resting;
                 });
-    if (live) wakeAt(std::max(std::min(root.wakes(now), nextSweep), now + kClock));
+    if (live) wakeAt(std::max(std::min(root.wakes(), nextSweep), now + kClock));
   }
 
   // --- state
@@ -668,6 +668,7 @@
   TimeRing taken{20}, done{3}, further{1}, takenInSpan{1};
   double trafficPart = 0;              // our part of all gateways' traffic, by the tenants' quotas
   double usualRun = 0, usualWork = 0;  // means over all commands
+  double allFails = 0, allOks = 0, allTook = 0, allRest = 0;  // of all nodes that don't rest
 };
 
 // --- what happens to a command
