--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,15 +28,17 @@
 namespace {
 
 // --- tuned values (seconds, threads a core, multiples)
-constexpr double kMark = 2, kEmptyUse = 1.8;           // threads a core, all gateways together
+constexpr double kMark = 2;                            // threads a core, all gateways together
 constexpr double kUseCut = 0.85, kReportFresh = 0.5;   // a fresh report under the cut: under the mark
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work;
 constexpr double kWaitLeast = 0.2, kWaitMost = 3;      // it grows with the work: draws are paid as turns are
 constexpr double kQuantum = 0.05, kCredit = 40;        // work that a turn pays for; most turns put by
+constexpr double kPrior = 3;  // usual runs for which the fleet's latency counts at each node
 constexpr double kFar = 1.6, kPressureHold = 1;        // latency over the best that shows pressure; its hold
 constexpr double kRatioCap = 4;                        // no latency counts as more: a bad plan says little
 constexpr double kMarkFall = 0.8, kMarkRise = 1.04;    // how the mark under pressure moves, a sweep;
 constexpr double kVeryFar = 2.4, kMarkEase = 0.98, kMarkLeast = 0.75;  // and below its value, if very far
+constexpr double kEcho = 10;                // our sends of so long stand for the other gateways' now
 constexpr double kBand = 0.5;               // how far the first in rank may stand above the least loaded;
 constexpr double kFarZone = 1, kApart = 1;  // so too a crossing that is charged, and a load's side of a rank
 constexpr double kSweep = 0.05, kClock = 1e-6;   // time between sweeps; no clock is finer
@@ -134,8 +136,8 @@
   std::vector<std::shared_ptr<Cmd>> out;
   int threads = 0;    // of our sends there
   double memory = 0;  // of our sends there
-  TimeRing took{1}, rest{1}, fails{kFailSpan}, oks{kFailSpan}, coldWork{1};
-  double stretch = 1, rested = 0, limit = 1;  // latency over the best, of how much; the mark's multiple
+  TimeRing took{1}, rest{1}, fails{kFailSpan}, oks{kFailSpan}, coldWork{1}, sent{kEcho};
+  double took1 = 0, rested = 0, stretch = 1, limit = 1;  // latency, over the best; the mark's multiple
   double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
   double lastLife = 0, gap = 0.1;  // last sign of life, usual time between two
   int late = 0;                    // sends overdue now
@@ -197,7 +199,12 @@
   double share() const { return 1.0 / std::max(1, set.gateways); }
   double part() const { return std::clamp(trafficPart, share(), 1.0); }  // of all traffic, at least
   bool cold(const Node& node) const { return node.startedAt && now < *node.startedAt + set.coldTime; }
-  double load(const Node& node) const { return node.threads / able(node); }
+  // Threads a core: ours, and the others' as if they had sent lately where we did. A rank that all share, or
+  // empty nodes that all see empty, would otherwise draw all gateways to the same few.
+  double load(Node& node) const {
+    double others = node.sent.sum(now) / std::clamp(now - openedAt, 1.0, kEcho) * (1 / part() - 1);
+    return (node.threads + others) / able(node);
+  }
   double able(const Node& node) const {  // cores; of a cold node the part that it surely has by now
     double age = cold(node) ? (now - *node.startedAt) / set.coldTime : 1;
     return node.cores * (set.coldFrom + (1 - set.coldFrom) * std::clamp(age, 0.0, 1.0));
@@ -377,9 +384,12 @@
     if (auto found = nodes.find(id); found != nodes.end()) seeReport(*found->second, report);
   }
 
-  double fill(const Node& node, const Cmd& cmd) const {  // part of its place that our load would take
-    double use = (node.threads + cmd.profile().threads / 2.0) / able(node) / (kMark * share() * node.limit);
-    return node.threads == 0 ? std::min(use, kEmptyUse) : use;
+  // Part of its place that a node has in use: our threads there, and for the other gateways' as many a core as
+  // we have at all nodes together. With many gateways a mark's part is less than one thread a node.
+  double fill(const Node& node, const Cmd& cmd) const {
+    double own = cmd.profile().threads / 2.0, all = threads + own;
+    double use = (node.threads + own) / able(node) + all / std::max(cores, 1.0) * (1 / share() - 1);
+    return use / (kMark * node.limit);
   }
 
   bool fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
@@ -439,9 +449,9 @@
     std::ranges::nth_element(ranks, side);
     for (auto& [id, node] : nodes) {
       if (!allowed(*node, cmd)) continue;
-      double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone * part() : 0;
+      double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone : 0;
       double rank = mix(id, cmd.tables);
-      if (apart && (side != ranks.end() && rank < *side) != cmd.profile().load) extra += kApart * part();
+      if (apart && (side != ranks.end() && rank < *side) != cmd.profile().load) extra += kApart;
       if (node->resting) extra -= 1e6;  // a trial that is due is taken
       if (node.get() == cmd.avoid) extra += 1e6;
       bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
@@ -452,7 +462,7 @@
     for (auto& [node, load, rank] : open) least = std::min(least, load);
     Node* first = nullptr;
     for (auto& [node, load, rank] : open)
-      if (load <= least + kBand * part() && rank > best) first = node, best = rank;
+      if (load <= least + kBand && rank > best) first = node, best = rank;
     return first;
   }
 
@@ -496,7 +506,7 @@
     if (node.resting) cmd.trial = node.trialOut = true;
     if (node.out.empty()) node.lastLife = std::max(node.lastLife, now - node.gap);
     node.out.push_back(cmd.shared_from_this());
-    node.threads += cmd.profile().threads, node.memory += cmd.grant;
+    threads += cmd.profile().threads, node.threads += cmd.profile().threads, node.memory += cmd.grant, node.sent.add(now, cmd.work);
     double wait = timeout(cmd, node);
     out.send(cmd, node.id, wait > 0 && now + wait < cmd.timeoutAt ? wait : 0);
   }
@@ -517,7 +527,7 @@
 
   double stretchBut(const Node& node) const {  // latency over the best at the other nodes that don't rest
     double rested = allRest - node.rested;
-    return rested > 0 ? std::clamp((allTook - node.rested * node.stretch) / rested, 1.0, kRatioCap) : 1;
+    return rested > 0 ? std::clamp((allTook - node.took1) / rested, 1.0, kRatioCap) : 1;
   }
 
   // Health: a node is to blame only for what the others don't show at the same time.
@@ -561,11 +571,13 @@
       double past = now - cmd->sentAt, rest = cmd->atRest();
       if (past > kFar * rest) took += std::min(past, kRatioCap * rest), atRest += rest;
     }
-    node.stretch = atRest > 0 ? took / atRest : 1, node.rested = atRest;
+    node.took1 = took, node.rested = atRest;
+    double prior = kPrior * usualRun;  // few answers of one node say little: the fleet's stand beside them
+    node.stretch = atRest + prior > 0 ? (took + prior * stretch) / (atRest + prior) : 1;
     bool far = node.stretch > kFar && !node.resting;
     if (far) press(node);
     if (!node.pressed) return;
-    if (far && node.threads > 0) {  // well below the mark only where latency stays far off, as when disks jam
+    if (far) {  // well below the mark only where latency stays far off, as when disks jam
       double least = node.stretch > kVeryFar ? kMarkLeast : std::min(1.0, node.limit);
       node.limit = std::max(least, node.limit * (node.limit > 1 ? kMarkFall : kMarkEase));
     } else if (now > node.pressedUntil - kPressureHold / 2) node.limit *= kMarkRise;
@@ -585,9 +597,6 @@
       backlog += cmd->work, worth += cmd->worth;
       slack += cmd->worth * std::max(0.0, cmd->targetAt - now - cmd->atRest());
     }
-    double cores = 0;
-    for (auto& [id, node] : nodes)
-      if (node->listed && !node->resting) cores += node->cores;
     double rate = std::max(done.sum(now) / 3, 0.25 * cores * share());
     if (backlog <= 0 || cores <= 0) return;
     double room = rate * kBacklog * slack / worth;
@@ -606,14 +615,18 @@
 
   void sweep() {
     bool any = false;
+    cores = 0;
+    for (auto& [id, node] : nodes)
+      if (node->listed && !node->resting) cores += able(*node);
     double worst = allFails = allOks = allRest = allTook = 0;
     for (auto& [id, node] : nodes) {
       moveMark(*node);
       any |= node->pressed && node->listed, worst = std::max(worst, node->stretch);
       if (node->resting) continue;
       allFails += node->fails.sum(now) + node->late, allOks += node->oks.sum(now);
-      allRest += node->rested, allTook += node->rested * node->stretch;
+      allRest += node->rested, allTook += node->took1;
     }
+    stretch = allRest > 0 ? allTook / allRest : 1;
     for (auto& [id, node] : nodes) judge(*node);
     if (any != pressure) log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
     pressure = any;
@@ -668,6 +681,9 @@
   TimeRing taken{20}, done{3}, further{1}, takenInSpan{1};
   double trafficPart = 0;              // our part of all gateways' traffic, by the tenants' quotas
   double usualRun = 0, usualWork = 0;  // means over all commands
+  int threads = 0;     // of our sends everywhere
+  double stretch = 1;  // latency over the best, of all that don't rest
+  double cores = 0;  // of the nodes that are listed and don't rest
   double allFails = 0, allOks = 0, allTook = 0, allRest = 0;  // of all nodes that don't rest
 };
 
@@ -692,7 +708,7 @@
   Node& was = *node;
   node = nullptr;
   std::erase(was.out, self);
-  was.threads -= profile().threads;
+  was.threads -= profile().threads, core.threads -= profile().threads;
   was.memory -= grant;
   bool ownTrial = std::exchange(trial, false);
   if (ownTrial) was.trialOut = false;
