--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -395,8 +395,9 @@
   bool fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
     double ours = std::min(1.0, part() * (node.pressed ? node.limit : 1));
     if (set.shortMemory == ShortMemory::overcommit) ours = share();
-    double free = node.memoryMb * kMemoryUse * ours - node.memory;
-    return node.memoryMb <= 0 || node.memory <= 0 || cmd.memory <= free;
+    double use = (node.memory + cmd.memory) / node.memoryMb +
+                 (memory + cmd.memory) / std::max(memoryMb, 1.0) * (1 / ours - 1);
+    return node.memoryMb <= 0 || memory <= 0 || use <= kMemoryUse;
   }
 
   // Does a load hold the command's group there? Ours do for sure; another gateway's shows in waiters of that
@@ -506,6 +507,7 @@
     if (node.resting) cmd.trial = node.trialOut = true;
     if (node.out.empty()) node.lastLife = std::max(node.lastLife, now - node.gap);
     node.out.push_back(cmd.shared_from_this());
+    memory += cmd.grant;
     threads += cmd.profile().threads, node.threads += cmd.profile().threads, node.memory += cmd.grant, node.sent.add(now, cmd.work);
     double wait = timeout(cmd, node);
     out.send(cmd, node.id, wait > 0 && now + wait < cmd.timeoutAt ? wait : 0);
@@ -615,9 +617,9 @@
 
   void sweep() {
     bool any = false;
-    cores = 0;
+    cores = memoryMb = 0;
     for (auto& [id, node] : nodes)
-      if (node->listed && !node->resting) cores += able(*node);
+      if (node->listed && !node->resting) cores += able(*node), memoryMb += node->memoryMb;
     double worst = allFails = allOks = allRest = allTook = 0;
     for (auto& [id, node] : nodes) {
       moveMark(*node);
@@ -683,7 +685,8 @@
   double usualRun = 0, usualWork = 0;  // means over all commands
   int threads = 0;     // of our sends everywhere
   double stretch = 1;  // latency over the best, of all that don't rest
-  double cores = 0;  // of the nodes that are listed and don't rest
+  double memory = 0;
+  double cores = 0, memoryMb = 0;  // of the nodes that are listed and don't rest
   double allFails = 0, allOks = 0, allTook = 0, allRest = 0;  // of all nodes that don't rest
 };
 
@@ -709,7 +712,7 @@
   node = nullptr;
   std::erase(was.out, self);
   was.threads -= profile().threads, core.threads -= profile().threads;
-  was.memory -= grant;
+  was.memory -= grant, core.memory -= grant;
   bool ownTrial = std::exchange(trial, false);
   if (ownTrial) was.trialOut = false;
   bool ran = what != Outcome::full && what != Outcome::connectFailed && what != Outcome::unused;
