--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -50,7 +50,8 @@
 constexpr double kFailSpan = 4, kFailShare = 0.2,
                  kFailLead = 2;  // failures that blame a node, over the others'
 constexpr double kQuiet = 0.5, kQuietGaps = 10, kQuietAlone = 2;  // silence that blames a node
-constexpr int kTrials = 3, kFurther = 2;  // trials answered before a node is well; further sends of a command
+constexpr double kTrials = 3;             // failures that blame a node at most; trials that clear it
+constexpr int kFurther = 2;               // further sends of a command
 constexpr double kBacklog = 0.2;          // part of the held commands' slack that the backlog may need
 constexpr double kOverloadHold = 0.5;  // overload lasts so long after the last command shed for want of room
 constexpr double kTooLate = 0.8;       // part of the run at rest that must still fit before target or end
@@ -532,6 +533,9 @@
     return rested > 0 ? std::clamp((allTook - node.took1) / rested, 1.0, kRatioCap) : 1;
   }
 
+  // Failures that blame a node, and trials that clear it: fewer where few sends come to one node.
+  double evidence() const { return std::clamp((allOks + allFails) / std::max(1.0, listed), 1.0, kTrials); }
+
   // Health: a node is to blame only for what the others don't show at the same time.
   void judge(Node& node) {
     if (node.resting) return;
@@ -548,7 +552,7 @@
     double others = otherFails / std::max(otherFails + otherOks, 1.0);
     bool worse = (fails + 1) * otherOks > kFailLead * (otherFails + 1) * (oks + 1);  // by odds
     double quiet = now - node.lastLife;
-    if (fails >= 3 && share > kFailShare + others / 2 && worse && quiet < kQuiet)
+    if (fails >= evidence() && share > kFailShare + others / 2 && worse)
       return rest(node, "it fails", share, others);
     double alone = overdue.size() < 2 ? kQuietAlone + 2 * loadRun * loadsHold : 0;
     double enough = std::max({kQuiet, kQuietGaps * node.gap, alone});
@@ -617,9 +621,9 @@
 
   void sweep() {
     bool any = false;
-    cores = memoryMb = 0;
+    cores = memoryMb = listed = 0;
     for (auto& [id, node] : nodes)
-      if (node->listed && !node->resting) cores += able(*node), memoryMb += node->memoryMb;
+      if (node->listed && !node->resting) cores += able(*node), memoryMb += node->memoryMb, ++listed;
     double worst = allFails = allOks = allRest = allTook = 0;
     for (auto& [id, node] : nodes) {
       moveMark(*node);
@@ -686,7 +690,7 @@
   int threads = 0;     // of our sends everywhere
   double stretch = 1;  // latency over the best, of all that don't rest
   double memory = 0;
-  double cores = 0, memoryMb = 0;  // of the nodes that are listed and don't rest
+  double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
   double allFails = 0, allOks = 0, allTook = 0, allRest = 0;  // of all nodes that don't rest
 };
 
@@ -730,10 +734,10 @@
   if (what == Outcome::connectFailed || what == Outcome::reset) was.fails.add(core.now, 2);
   if (answered || what == Outcome::error || what == Outcome::full) core.seeLife(was);
   if (what == Outcome::full) core.press(was), was.fullUntil = core.now + kFullPause;  // else it draws all
-  if (ownTrial && was.resting && answered && ++was.trials >= kTrials) {
+  if (ownTrial && was.resting && answered && ++was.trials >= core.evidence()) {
     core.well(was);
   } else if (ownTrial && was.resting && !answered && what != Outcome::full && what != Outcome::unused) {
-    core.rest(was, "trial failed", was.trials, kTrials);
+    core.rest(was, "trial failed", was.trials, core.evidence());
   }
   if (answered) core.learn(*this, took, bill);
   if (answered && !ownTrial)
