--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -38,7 +38,8 @@
 constexpr double kRatioCap = 4;                        // no latency counts as more: a bad plan says little
 constexpr double kMarkFall = 0.8, kMarkRise = 1.04;    // how the mark under pressure moves, a sweep;
 constexpr double kVeryFar = 2.4, kMarkEase = 0.98, kMarkLeast = 0.75;  // and below its value, if very far
-constexpr double kEcho = 10;                // our sends of so long stand for the other gateways' now
+constexpr double kLeastPart = 0.125;        // no smaller part of the traffic weighs one thread more
+constexpr double kSpare = 1.3, kOver = 1;   // a node's part of our sends; what sends beyond it weigh
 constexpr double kBand = 0.5;               // how far the first in rank may stand above the least loaded;
 constexpr double kFarZone = 1, kApart = 1;  // so too a crossing that is charged, and a load's side of a rank
 constexpr double kSweep = 0.05, kClock = 1e-6;   // time between sweeps; no clock is finer
@@ -137,7 +138,8 @@
   std::vector<std::shared_ptr<Cmd>> out;
   int threads = 0;    // of our sends there
   double memory = 0;  // of our sends there
-  TimeRing took{1}, rest{1}, fails{kFailSpan}, oks{kFailSpan}, coldWork{1}, sent{kEcho};
+  TimeRing took{1}, rest{1}, fails{kFailSpan}, oks{kFailSpan}, coldWork{1};
+  std::vector<double> credit;  // by profile: sends that are due to it as its part of ours
   double took1 = 0, rested = 0, stretch = 1, limit = 1;  // latency, over the best; the mark's multiple
   double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
   double lastLife = 0, gap = 0.1;  // last sign of life, usual time between two
@@ -200,12 +202,8 @@
   double share() const { return 1.0 / std::max(1, set.gateways); }
   double part() const { return std::clamp(trafficPart, share(), 1.0); }  // of all traffic, at least
   bool cold(const Node& node) const { return node.startedAt && now < *node.startedAt + set.coldTime; }
-  // Threads a core: ours, and the others' as if they had sent lately where we did. A rank that all share, or
-  // empty nodes that all see empty, would otherwise draw all gateways to the same few.
-  double load(Node& node) const {
-    double others = node.sent.sum(now) / std::clamp(now - openedAt, 1.0, kEcho) * (1 / part() - 1);
-    return (node.threads + others) / able(node);
-  }
+  // Threads a core, of all gateways if the others run as many there as we do.
+  double load(const Node& node) const { return node.threads / able(node) / std::max(part(), kLeastPart); }
   double able(const Node& node) const {  // cores; of a cold node the part that it surely has by now
     double age = cold(node) ? (now - *node.startedAt) / set.coldTime : 1;
     return node.cores * (set.coldFrom + (1 - set.coldFrom) * std::clamp(age, 0.0, 1.0));
@@ -369,6 +367,7 @@
       if (!slot) {
         slot = std::make_unique<Node>();
         slot->id = row.id, slot->lastLife = now;
+        for (size_t i = 0; i < rows.size(); ++i) slot->credit.push_back(chance.between(-1, 1));
         slot->coldWork = TimeRing(std::max(set.fallTime * 1.1, 0.001));
       }
       Node& node = *slot;
@@ -454,6 +453,7 @@
       double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone : 0;
       double rank = mix(id, cmd.tables);
       if (apart && (side != ranks.end() && rank < *side) != cmd.profile().load) extra += kApart;
+      if (node->credit[&cmd.row - rows.data()] < 0) extra += kOver * (1 - share());
       if (node->resting) extra -= 1e6;  // a trial that is due is taken
       if (node.get() == cmd.avoid) extra += 1e6;
       bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
@@ -509,7 +509,12 @@
     if (node.out.empty()) node.lastLife = std::max(node.lastLife, now - node.gap);
     node.out.push_back(cmd.shared_from_this());
     memory += cmd.grant;
-    threads += cmd.profile().threads, node.threads += cmd.profile().threads, node.memory += cmd.grant, node.sent.add(now, cmd.work);
+    threads += cmd.profile().threads, node.threads += cmd.profile().threads, node.memory += cmd.grant;
+    for (auto& [id, other] : nodes) {
+      double& credit = other->credit[&cmd.row - rows.data()];
+      credit = std::min(credit + kSpare * able(*other) / cores, 1.0);
+    }
+    node.credit[&cmd.row - rows.data()] -= 1;
     double wait = timeout(cmd, node);
     out.send(cmd, node.id, wait > 0 && now + wait < cmd.timeoutAt ? wait : 0);
   }
