--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -38,6 +38,7 @@
 constexpr double kRatioCap = 4;                        // no latency counts as more: a bad plan says little
 constexpr double kMarkFall = 0.8, kMarkRise = 1.04;    // how the mark under pressure moves, a sweep;
 constexpr double kVeryFar = 2.4, kMarkEase = 0.98, kMarkLeast = 0.75;  // and below its value, if very far
+constexpr double kDense = 2;                // sends a second to each node that tell how it is
 constexpr double kLeastPart = 0.125;        // no smaller part of the traffic weighs one thread more
 constexpr double kSpare = 1.3, kOver = 1;   // a node's part of our sends; what sends beyond it weigh
 constexpr double kBand = 0.5;               // how far the first in rank may stand above the least loaded;
@@ -145,7 +146,7 @@
   double lastLife = 0, gap = 0.1;  // last sign of life, usual time between two
   int late = 0;                    // sends overdue now
   std::set<uint64_t> lost;         // groups of the sends timed out since then
-  double restUntil = 0, restTime = kRestFirst, wellSince = 0;
+  double restUntil = 0, restTime = kRestFirst, pause = kFullPause, wellSince = 0;
   int trials = 0;
   bool pressed = false, resting = false, trialOut = false;
 };
@@ -453,8 +454,8 @@
       double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone : 0;
       double rank = mix(id, cmd.tables);
       if (apart && (side != ranks.end() && rank < *side) != cmd.profile().load) extra += kApart;
-      if (node->credit[&cmd.row - rows.data()] < 0) extra += kOver * (1 - share());
-      if (node->resting) extra -= 1e6;  // a trial that is due is taken
+      if (node->credit[&cmd.row - rows.data()] < 0) extra += kOver * sparse;
+      if (node->resting && evidence() >= kTrials) extra -= 1e6;  // a trial that is due is taken
       if (node.get() == cmd.avoid) extra += 1e6;
       bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
       choices[place].push_back({node.get(), load(*node) + extra, rank});
@@ -511,6 +512,7 @@
     memory += cmd.grant;
     threads += cmd.profile().threads, node.threads += cmd.profile().threads, node.memory += cmd.grant;
     for (auto& [id, other] : nodes) {
+      if (!other->listed || other->resting) continue;
       double& credit = other->credit[&cmd.row - rows.data()];
       credit = std::min(credit + kSpare * able(*other) / cores, 1.0);
     }
@@ -519,11 +521,17 @@
     out.send(cmd, node.id, wait > 0 && now + wait < cmd.timeoutAt ? wait : 0);
   }
 
+  void pause(Node& node) {  // the more gateways come back at once, the longer it must be: it doubles
+    node.fullUntil = now + node.pause * chance.between(0.5, 1.5);
+    node.pause = std::min(2 * node.pause, kRestLast);
+  }
+
   // --- sweeps
   void rest(Node& node, const char* why, double figure, double other) {
     if (!node.resting) log("node %u rests: %s (%.2f against %.2f)", node.id, why, figure, other);
     bool relapse = node.resting || now < node.wellSince + kRestLast;
-    node.restTime = relapse ? std::min(node.restTime * 2, kRestLast) : kRestFirst;
+    double longest = kRestLast * kTrials / evidence();  // a trial is dear where few sends come to one node
+    node.restTime = relapse ? std::min(node.restTime * 2, longest) : kRestFirst;
     node.resting = true, node.trials = 0, node.restUntil = now + node.restTime;
   }
 
@@ -638,6 +646,7 @@
       allRest += node->rested, allTook += node->took1;
     }
     stretch = allRest > 0 ? allTook / allRest : 1;
+    sparse = std::clamp(1 - (allOks + allFails) / kFailSpan / std::max(1.0, listed) / kDense, 0.0, 1.0);
     for (auto& [id, node] : nodes) judge(*node);
     if (any != pressure) log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
     pressure = any;
@@ -695,6 +704,7 @@
   int threads = 0;     // of our sends everywhere
   double stretch = 1;  // latency over the best, of all that don't rest
   double memory = 0;
+  double sparse = 0;  // 1: hardly any of our sends come to one node; 0: enough to see how it is
   double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
   double allFails = 0, allOks = 0, allTook = 0, allRest = 0;  // of all nodes that don't rest
 };
@@ -734,11 +744,11 @@
     if (was.lastLife <= sentAt) was.lost.insert(tables);
   }
   bool answered = what == Outcome::answered;
-  if (answered) was.oks.add(core.now, 1);
+  if (answered) was.oks.add(core.now, 1), was.pause = kFullPause;
   if (what == Outcome::error || (what == Outcome::expired && !profile().yields)) was.fails.add(core.now, 1);
   if (what == Outcome::connectFailed || what == Outcome::reset) was.fails.add(core.now, 2);
   if (answered || what == Outcome::error || what == Outcome::full) core.seeLife(was);
-  if (what == Outcome::full) core.press(was), was.fullUntil = core.now + kFullPause;  // else it draws all
+  if (what == Outcome::full) core.press(was), core.pause(was);  // else it draws all
   if (ownTrial && was.resting && answered && ++was.trials >= core.evidence()) {
     core.well(was);
   } else if (ownTrial && was.resting && !answered && what != Outcome::full && what != Outcome::unused) {
