--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -616,8 +616,9 @@
       backlog += cmd->work, worth += cmd->worth;
       slack += cmd->worth * std::max(0.0, cmd->targetAt - now - cmd->atRest());
     }
-    double rate = std::max(done.sum(now) / 3, 0.25 * cores * share());
-    if (backlog <= 0 || cores <= 0) return;
+    if (held.size() < 2 || cores <= 0) return;  // what is held alone waits for nothing but a place
+    double ours = cores * share(), prior = kPrior * usualWork;  // few bills say little of our rate
+    double rate = std::max((done.sum(now) + prior) / (3 + prior / ours), 0.25 * ours);
     double room = rate * kBacklog * slack / worth;
     if (backlog <= room || !pressure) return;
     auto density = [&](auto& cmd) { return worthNow(*cmd) / cmd->work; };
@@ -625,6 +626,7 @@
     std::ranges::stable_sort(waiting, {}, density);
     if (!overload) log("overload: %.1f s of work held, room for %.1f", backlog, room);
     overload = true, overloadUntil = now + kOverloadHold;
+    waiting.pop_back();
     for (auto& cmd : waiting) {
       if (backlog <= room) break;
       backlog -= cmd->work;
