--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -33,6 +33,7 @@
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work;
 constexpr double kWaitLeast = 0.2, kWaitMost = 3;      // it grows with the work: draws are paid as turns are
 constexpr double kQuantum = 0.05, kCredit = 40;        // work that a turn pays for; most turns put by
+constexpr double kAnswers = 20;               // answers that tell the fleet's latency
 constexpr double kPrior = 3;  // usual runs for which the fleet's latency counts at each node
 constexpr double kFar = 1.6, kPressureHold = 1;        // latency over the best that shows pressure; its hold
 constexpr double kRatioCap = 4;                        // no latency counts as more: a bad plan says little
@@ -587,8 +588,10 @@
   void moveMark(Node& node) {
     double took = node.took.sum(now), atRest = node.rest.sum(now);
     for (auto& cmd : node.out) {  // what is overdue tells before it ends
-      double past = now - cmd->sentAt, rest = cmd->atRest();
-      if (past > kFar * rest) took += std::min(past, kRatioCap * rest), atRest += rest;
+      double past = std::min(now - cmd->sentAt, kRatioCap * cmd->atRest()), rest = cmd->atRest();
+      if (past <= kFar * rest) continue;
+      took += past, atRest += rest;
+      if (!node.resting) lateTook += past, lateRest += rest;
     }
     node.took1 = took, node.rested = atRest;
     double prior = kPrior * usualRun;  // few answers of one node say little: the fleet's stand beside them
@@ -639,7 +642,7 @@
     cores = memoryMb = listed = 0;
     for (auto& [id, node] : nodes)
       if (node->listed && !node->resting) cores += able(*node), memoryMb += node->memoryMb, ++listed;
-    double worst = allFails = allOks = allRest = allTook = 0;
+    double worst = lateTook = lateRest = allFails = allOks = allRest = allTook = 0;
     for (auto& [id, node] : nodes) {
       moveMark(*node);
       any |= node->pressed && node->listed, worst = std::max(worst, node->stretch);
@@ -647,7 +650,7 @@
       allFails += node->fails.sum(now) + node->late, allOks += node->oks.sum(now);
       allRest += node->rested, allTook += node->took1;
     }
-    stretch = allRest > 0 ? allTook / allRest : 1;
+    stretch = answerRest + lateRest > 0 ? (answerTook + lateTook) / (answerRest + lateRest) : 1;
     sparse = std::clamp(1 - (allOks + allFails) / kFailSpan / std::max(1.0, listed) / kDense, 0.0, 1.0);
     for (auto& [id, node] : nodes) judge(*node);
     if (any != pressure) log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
@@ -708,6 +711,7 @@
   double memory = 0;
   double sparse = 0;  // 1: hardly any of our sends come to one node; 0: enough to see how it is
   double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
+  double answerTook = 0, answerRest = 0, lateTook = 0, lateRest = 0;  // of the last answers; of sends overdue
   double allFails = 0, allOks = 0, allTook = 0, allRest = 0;  // of all nodes that don't rest
 };
 
@@ -756,9 +760,14 @@
   } else if (ownTrial && was.resting && !answered && what != Outcome::full && what != Outcome::unused) {
     core.rest(was, "trial failed", was.trials, core.evidence());
   }
+  // What spilled for want of memory tells nothing of the load. (An engine's own grant: a quarter more.)
+  bool spilled = bill && bill->memoryMb > (core.set.grants ? grant : 1.25 * estimateMb) && estimateMb > 0;
   if (answered) core.learn(*this, took, bill);
-  if (answered && !ownTrial)
-    was.took.add(core.now, std::min(took, kRatioCap * atRest())), was.rest.add(core.now, atRest());
+  if (answered && !ownTrial && !spilled) {
+    double most = std::min(took, kRatioCap * atRest());
+    was.took.add(core.now, most), was.rest.add(core.now, atRest());
+    core.answerTook += most - core.answerTook / kAnswers, core.answerRest += atRest() - core.answerRest / kAnswers;
+  }
   core.seeReport(was, report);
   avoid = &was;
   over |= final;
