--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -202,7 +202,7 @@
 
   void at(double time) override { now = time, openedAt = openedAt < 0 ? now : openedAt; }
   double share() const { return 1.0 / std::max(1, set.gateways); }
-  double part() const { return std::clamp(trafficPart, share(), 1.0); }  // of all traffic, at least
+  double part() const { return std::clamp(trafficPart, share(), 1.0); }  // of all work done, at least
   bool cold(const Node& node) const { return node.startedAt && now < *node.startedAt + set.coldTime; }
   // Threads a core, of all gateways if the others run as many there as we do.
   double load(const Node& node) const { return node.threads / able(node) / std::max(part(), kLeastPart); }
@@ -235,7 +235,6 @@
     cmd->targetAt = now + profile.target + profile.targetStretch * cmd->run();
     cmd->timeoutAt = now + arrival.timeLeft;
     taken.add(now, 1);
-    if (quotas > 0) trafficPart = taken.sum(now) / std::clamp(now - openedAt, 5.0, 20.0) / quotas;
     takenInSpan.add(now, 1);
     double weight = 1;
     for (auto& tenant : set.tenants)
@@ -350,7 +349,7 @@
       if (bill->memoryMb > 0 && raw > 0) toward(row.memoryRatio, bill->memoryMb / raw);
       cmd.work = bill->work;
     }
-    done.add(now, cmd.work);
+    done.add(now, cmd.work), doneLong.add(now, cmd.work);
     double ratio = took / cmd.run();  // the best: a low quantile of latency over work
     row.best *= ratio < row.best ? 0.97 : 1.005;
     row.best = std::clamp(row.best, 0.4, 1.5);
@@ -389,17 +388,17 @@
   // Part of its place that a node has in use: our threads there, and for the other gateways' as many a core as
   // we have at all nodes together. With many gateways a mark's part is less than one thread a node.
   double fill(const Node& node, const Cmd& cmd) const {
-    double own = cmd.profile().threads / 2.0, all = threads + own;
-    double use = (node.threads + own) / able(node) + all / std::max(cores, 1.0) * (1 / share() - 1);
-    return use / (kMark * node.limit);
+    double own = node.threads + cmd.profile().threads / 2.0;
+    double others = usualThreads / std::max(cores, 1.0) * (1 / part() - 1);
+    return (own / able(node) + others) / (kMark * node.limit);
   }
 
   bool fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
     double ours = std::min(1.0, part() * (node.pressed ? node.limit : 1));
     if (set.shortMemory == ShortMemory::overcommit) ours = share();
     double use = (node.memory + cmd.memory) / node.memoryMb +
-                 (memory + cmd.memory) / std::max(memoryMb, 1.0) * (1 / ours - 1);
-    return node.memoryMb <= 0 || memory <= 0 || use <= kMemoryUse;
+                 usualMemory / std::max(memoryMb, 1.0) * (1 / ours - 1);
+    return node.memoryMb <= 0 || node.memory <= 0 || use <= kMemoryUse;
   }
 
   // Does a load hold the command's group there? Ours do for sure; another gateway's shows in waiters of that
@@ -651,6 +650,9 @@
       allRest += node->rested, allTook += node->took1;
     }
     stretch = answerRest + lateRest > 0 ? (answerTook + lateTook) / (answerRest + lateRest) : 1;
+    double span = std::clamp(now - openedAt, 5.0, 20.0), weight = std::min(1.0, kSweep * taken.sum(now) / span / kAnswers);
+    if (quotas > 0 && usualWork > 0) trafficPart = doneLong.sum(now) / span / quotas / usualWork;
+    usualThreads += weight * (threads - usualThreads), usualMemory += weight * (memory - usualMemory);
     sparse = std::clamp(1 - (allOks + allFails) / kFailSpan / std::max(1.0, listed) / kDense, 0.0, 1.0);
     for (auto& [id, node] : nodes) judge(*node);
     if (any != pressure) log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
@@ -703,12 +705,12 @@
   Turn root;
   std::vector<std::shared_ptr<Cmd>> held;
   size_t fresh = 0;  // from here on, held commands that no sweep has looked at
-  TimeRing taken{20}, done{3}, further{1}, takenInSpan{1};
+  TimeRing taken{20}, done{3}, doneLong{20}, further{1}, takenInSpan{1};
   double trafficPart = 0;              // our part of all gateways' traffic, by the tenants' quotas
   double usualRun = 0, usualWork = 0;  // means over all commands
   int threads = 0;     // of our sends everywhere
   double stretch = 1;  // latency over the best, of all that don't rest
-  double memory = 0;
+  double memory = 0, usualThreads = 0, usualMemory = 0;
   double sparse = 0;  // 1: hardly any of our sends come to one node; 0: enough to see how it is
   double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
   double answerTook = 0, answerRest = 0, lateTook = 0, lateRest = 0;  // of the last answers; of sends overdue
