--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -388,16 +388,16 @@
   // Part of its place that a node has in use: our threads there, and for the other gateways' as many a core as
   // we have at all nodes together. With many gateways a mark's part is less than one thread a node.
   double fill(const Node& node, const Cmd& cmd) const {
-    double own = node.threads + cmd.profile().threads / 2.0;
-    double others = usualThreads / std::max(cores, 1.0) * (1 / part() - 1);
-    return (own / able(node) + others) / (kMark * node.limit);
+    double own = cmd.profile().threads / 2.0;
+    double others = (threads + own) / std::max(cores, 1.0) * (1 / share() - 1);
+    return ((node.threads + own) / able(node) + others) / (kMark * node.limit);
   }
 
   bool fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
     double ours = std::min(1.0, part() * (node.pressed ? node.limit : 1));
     if (set.shortMemory == ShortMemory::overcommit) ours = share();
     double use = (node.memory + cmd.memory) / node.memoryMb +
-                 usualMemory / std::max(memoryMb, 1.0) * (1 / ours - 1);
+                 (node.pressed ? memory + cmd.memory : usualMemory) / std::max(memoryMb, 1.0) * (1 / ours - 1);
     return node.memoryMb <= 0 || node.memory <= 0 || use <= kMemoryUse;
   }
 
@@ -652,7 +652,7 @@
     stretch = answerRest + lateRest > 0 ? (answerTook + lateTook) / (answerRest + lateRest) : 1;
     double span = std::clamp(now - openedAt, 5.0, 20.0), weight = std::min(1.0, kSweep * taken.sum(now) / span / kAnswers);
     if (quotas > 0 && usualWork > 0) trafficPart = doneLong.sum(now) / span / quotas / usualWork;
-    usualThreads += weight * (threads - usualThreads), usualMemory += weight * (memory - usualMemory);
+    usualMemory += weight * (memory - usualMemory);
     sparse = std::clamp(1 - (allOks + allFails) / kFailSpan / std::max(1.0, listed) / kDense, 0.0, 1.0);
     for (auto& [id, node] : nodes) judge(*node);
     if (any != pressure) log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
@@ -710,7 +710,7 @@
   double usualRun = 0, usualWork = 0;  // means over all commands
   int threads = 0;     // of our sends everywhere
   double stretch = 1;  // latency over the best, of all that don't rest
-  double memory = 0, usualThreads = 0, usualMemory = 0;
+  double memory = 0, usualMemory = 0;
   double sparse = 0;  // 1: hardly any of our sends come to one node; 0: enough to see how it is
   double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
   double answerTook = 0, answerRest = 0, lateTook = 0, lateRest = 0;  // of the last answers; of sends overdue
