--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -590,7 +590,7 @@
       double past = std::min(now - cmd->sentAt, kRatioCap * cmd->atRest()), rest = cmd->atRest();
       if (past <= kFar * rest) continue;
       took += past, atRest += rest;
-      if (!node.resting) lateTook += past, lateRest += rest;
+      if (!node.resting) ratios.push_back(past / rest);
     }
     node.took1 = took, node.rested = atRest;
     double prior = kPrior * usualRun;  // few answers of one node say little: the fleet's stand beside them
@@ -641,7 +641,8 @@
     cores = memoryMb = listed = 0;
     for (auto& [id, node] : nodes)
       if (node->listed && !node->resting) cores += able(*node), memoryMb += node->memoryMb, ++listed;
-    double worst = lateTook = lateRest = allFails = allOks = allRest = allTook = 0;
+    ratios.assign(answers.begin(), answers.end());
+    double worst = allFails = allOks = allRest = allTook = 0;
     for (auto& [id, node] : nodes) {
       moveMark(*node);
       any |= node->pressed && node->listed, worst = std::max(worst, node->stretch);
@@ -649,7 +650,9 @@
       allFails += node->fails.sum(now) + node->late, allOks += node->oks.sum(now);
       allRest += node->rested, allTook += node->took1;
     }
-    stretch = answerRest + lateRest > 0 ? (answerTook + lateTook) / (answerRest + lateRest) : 1;
+    auto middle = ratios.begin() + ratios.size() / 2;  // a few jammed nodes don't make a slow fleet
+    std::ranges::nth_element(ratios, middle);
+    stretch = ratios.empty() ? 1 : *middle;
     double span = std::clamp(now - openedAt, 5.0, 20.0), weight = std::min(1.0, kSweep * taken.sum(now) / span / kAnswers);
     if (quotas > 0 && usualWork > 0) trafficPart = doneLong.sum(now) / span / quotas / usualWork;
     usualMemory += weight * (memory - usualMemory);
@@ -713,7 +716,8 @@
   double memory = 0, usualMemory = 0;
   double sparse = 0;  // 1: hardly any of our sends come to one node; 0: enough to see how it is
   double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
-  double answerTook = 0, answerRest = 0, lateTook = 0, lateRest = 0;  // of the last answers; of sends overdue
+  std::deque<double> answers;  // latency over the best of the last ones
+  std::vector<double> ratios;  // and of sends overdue
   double allFails = 0, allOks = 0, allTook = 0, allRest = 0;  // of all nodes that don't rest
 };
 
@@ -768,7 +772,8 @@
   if (answered && !ownTrial && !spilled) {
     double most = std::min(took, kRatioCap * atRest());
     was.took.add(core.now, most), was.rest.add(core.now, atRest());
-    core.answerTook += most - core.answerTook / kAnswers, core.answerRest += atRest() - core.answerRest / kAnswers;
+    core.answers.push_back(most / atRest());
+    if (core.answers.size() > kAnswers) core.answers.pop_front();
   }
   core.seeReport(was, report);
   avoid = &was;
