--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -33,7 +33,7 @@
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work;
 constexpr double kWaitLeast = 0.2, kWaitMost = 3;      // it grows with the work: draws are paid as turns are
 constexpr double kQuantum = 0.05, kCredit = 40;        // work that a turn pays for; most turns put by
-constexpr double kAnswers = 20;               // answers that tell the fleet's latency
+constexpr size_t kAnswers = 20;               // answers that tell the fleet's latency
 constexpr double kPrior = 3;  // usual runs for which the fleet's latency counts at each node
 constexpr double kFar = 1.6, kPressureHold = 1;        // latency over the best that shows pressure; its hold
 constexpr double kRatioCap = 4;                        // no latency counts as more: a bad plan says little
@@ -590,7 +590,7 @@
       double past = std::min(now - cmd->sentAt, kRatioCap * cmd->atRest()), rest = cmd->atRest();
       if (past <= kFar * rest) continue;
       took += past, atRest += rest;
-      if (!node.resting) ratios.push_back(past / rest);
+      if (!node.resting) ratios.push_back({past / rest, rest});
     }
     node.took1 = took, node.rested = atRest;
     double prior = kPrior * usualRun;  // few answers of one node say little: the fleet's stand beside them
@@ -650,10 +650,13 @@
       allFails += node->fails.sum(now) + node->late, allOks += node->oks.sum(now);
       allRest += node->rested, allTook += node->took1;
     }
-    auto middle = ratios.begin() + ratios.size() / 2;  // a few jammed nodes don't make a slow fleet
-    std::ranges::nth_element(ratios, middle);
-    stretch = ratios.empty() ? 1 : *middle;
-    double span = std::clamp(now - openedAt, 5.0, 20.0), weight = std::min(1.0, kSweep * taken.sum(now) / span / kAnswers);
+    std::ranges::sort(ratios);  // the median by time at rest: a few jammed nodes don't make a slow fleet
+    double half = 0;
+    for (auto& [ratio, rest] : ratios) half += rest / 2;
+    stretch = 1;
+    for (auto& [ratio, rest] : ratios)
+      if (half > 0) stretch = ratio, half -= rest;
+    double span = std::clamp(now - openedAt, 5.0, 20.0), weight = std::min(1.0, kSweep * taken.sum(now) / span / double(kAnswers));
     if (quotas > 0 && usualWork > 0) trafficPart = doneLong.sum(now) / span / quotas / usualWork;
     usualMemory += weight * (memory - usualMemory);
     sparse = std::clamp(1 - (allOks + allFails) / kFailSpan / std::max(1.0, listed) / kDense, 0.0, 1.0);
@@ -716,8 +719,8 @@
   double memory = 0, usualMemory = 0;
   double sparse = 0;  // 1: hardly any of our sends come to one node; 0: enough to see how it is
   double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
-  std::deque<double> answers;  // latency over the best of the last ones
-  std::vector<double> ratios;  // and of sends overdue
+  std::deque<std::pair<double, double>> answers;  // latency over the best of the last ones, and at rest
+  std::vector<std::pair<double, double>> ratios;  // and of sends overdue
   double allFails = 0, allOks = 0, allTook = 0, allRest = 0;  // of all nodes that don't rest
 };
 
@@ -772,7 +775,7 @@
   if (answered && !ownTrial && !spilled) {
     double most = std::min(took, kRatioCap * atRest());
     was.took.add(core.now, most), was.rest.add(core.now, atRest());
-    core.answers.push_back(most / atRest());
+    core.answers.push_back({most / atRest(), atRest()});
     if (core.answers.size() > kAnswers) core.answers.pop_front();
   }
   core.seeReport(was, report);
