--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -183,11 +183,11 @@
   bool held = false, over = false, streaming = false, trial = false, cancelled = false;
 };
 
-double mix(uint32_t node, uint64_t group) {  // rendezvous hash
+double mix(uint32_t node, uint64_t group, double cores) {  // rendezvous hash, weighted
   uint64_t h = (group + 0x9e3779b97f4a7c15ULL) * 0xbf58476d1ce4e5b9ULL ^ (node * 0x94d049bb133111ebULL);
   h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9ULL;
   h = (h ^ (h >> 27)) * 0x94d049bb133111ebULL;
-  return static_cast<double>((h ^ (h >> 31)) >> 11);
+  return std::log((static_cast<double>((h ^ (h >> 31)) >> 11) + 0.5) * 0x1p-53) / cores;
 }
 
 struct Core final : Gateway {
@@ -446,13 +446,13 @@
     bool apart = loadsHold && (cmd.profile().load || cmd.profile().yields);
     std::vector<double> ranks;  // a group's loads to the last third of its rank, their waiters to the rest
     for (auto& [id, node] : nodes)
-      if (apart && node->listed) ranks.push_back(mix(id, cmd.tables));
+      if (apart && node->listed) ranks.push_back(mix(id, cmd.tables, node->cores));
     auto side = ranks.begin() + long(ranks.size() + 2) / 3;
     std::ranges::nth_element(ranks, side);
     for (auto& [id, node] : nodes) {
       if (!allowed(*node, cmd)) continue;
       double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone : 0;
-      double rank = mix(id, cmd.tables);
+      double rank = mix(id, cmd.tables, node->cores);
       if (apart && (side != ranks.end() && rank < *side) != cmd.profile().load) extra += kApart;
       if (node->credit[&cmd.row - rows.data()] < 0) extra += kOver * sparse;
       if (node->resting && evidence() >= kTrials) extra -= 1e6;  // a trial that is due is taken
