--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -451,7 +451,7 @@
     std::ranges::nth_element(ranks, side);
     for (auto& [id, node] : nodes) {
       if (!allowed(*node, cmd)) continue;
-      double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone : 0;
+      double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone * (1 - sparse) : 0;
       double rank = mix(id, cmd.tables, node->cores);
       if (apart && (side != ranks.end() && rank < *side) != cmd.profile().load) extra += kApart;
       if (node->credit[&cmd.row - rows.data()] < 0) extra += kOver * sparse;
