--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -451,7 +451,7 @@
     std::ranges::nth_element(ranks, side);
     for (auto& [id, node] : nodes) {
       if (!allowed(*node, cmd)) continue;
-      double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone * (1 - sparse) : 0;
+      double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone : 0;
       double rank = mix(id, cmd.tables, node->cores);
       if (apart && (side != ranks.end() && rank < *side) != cmd.profile().load) extra += kApart;
       if (node->credit[&cmd.row - rows.data()] < 0) extra += kOver * sparse;
@@ -590,7 +590,7 @@
       double past = std::min(now - cmd->sentAt, kRatioCap * cmd->atRest()), rest = cmd->atRest();
       if (past <= kFar * rest) continue;
       took += past, atRest += rest;
-      if (!node.resting) ratios.push_back({past / rest, rest});
+      if (!node.resting && past >= kRatioCap * rest) ratios.push_back({past / rest, rest});
     }
     node.took1 = took, node.rested = atRest;
     double prior = kPrior * usualRun;  // few answers of one node say little: the fleet's stand beside them
@@ -650,12 +650,9 @@
       allFails += node->fails.sum(now) + node->late, allOks += node->oks.sum(now);
       allRest += node->rested, allTook += node->took1;
     }
-    std::ranges::sort(ratios);  // the median by time at rest: a few jammed nodes don't make a slow fleet
-    double half = 0;
-    for (auto& [ratio, rest] : ratios) half += rest / 2;
-    stretch = 1;
-    for (auto& [ratio, rest] : ratios)
-      if (half > 0) stretch = ratio, half -= rest;
+    double took = 0, rested = 0;
+    for (auto& [ratio, rest] : ratios) took += ratio * rest, rested += rest;
+    stretch = rested > 0 ? took / rested : 1;
     double span = std::clamp(now - openedAt, 5.0, 20.0), weight = std::min(1.0, kSweep * taken.sum(now) / span / double(kAnswers));
     if (quotas > 0 && usualWork > 0) trafficPart = doneLong.sum(now) / span / quotas / usualWork;
     usualMemory += weight * (memory - usualMemory);
