--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,7 +28,7 @@
 namespace {
 
 // --- tuned values (seconds, threads a core, multiples)
-constexpr double kMark = 2;                            // threads a core, all gateways together
+constexpr double kMark = 1.5;                            // threads a core, all gateways together
 constexpr double kUseCut = 0.85, kReportFresh = 0.5;   // a fresh report under the cut: under the mark
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work;
 constexpr double kWaitLeast = 0.2, kWaitMost = 3;      // it grows with the work: draws are paid as turns are
@@ -546,6 +546,10 @@
     return rested > 0 ? std::clamp((allTook - node.took1) / rested, 1.0, kRatioCap) : 1;
   }
 
+  bool isOverdue(const Cmd& cmd, double usual) const {
+    return now - cmd.sentAt > kQuiet + kTimeoutRuns * cmd.atRest() * usual;
+  }
+
   // Failures that blame a node, and trials that clear it: fewer where few sends come to one node.
   double evidence() const { return std::clamp((allOks + allFails) / std::max(1.0, listed), 1.0, kTrials); }
 
@@ -558,7 +562,7 @@
     auto overdue = node.lost;  // by groups, since a load may hold up all commands of one
     allFails -= std::exchange(node.late, 0);
     for (auto& cmd : node.out)
-      if (now - cmd->sentAt > kQuiet + kTimeoutRuns * cmd->atRest() * usual)
+      if (isOverdue(*cmd, usual))
         overdue.insert(cmd->tables), node.late += !cmd->profile().yields && cmd->sentAt > node.wellSince;
     allFails += node.late;
     double fails = nodeFails + node.late, share = fails / std::max(fails + oks, 1.0);
@@ -595,6 +599,8 @@
     node.took1 = took, node.rested = atRest;
     double prior = kPrior * usualRun;  // few answers of one node say little: the fleet's stand beside them
     node.stretch = atRest + prior > 0 ? (took + prior * stretch) / (atRest + prior) : 1;
+    node.limit = 1, node.pressed = true, node.pressedUntil = now + 100;
+    if (node.pressed) return;
     bool far = node.stretch > kFar && !node.resting;
     if (far) press(node);
     if (!node.pressed) return;
@@ -658,6 +664,11 @@
     usualMemory += weight * (memory - usualMemory);
     sparse = std::clamp(1 - (allOks + allFails) / kFailSpan / std::max(1.0, listed) / kDense, 0.0, 1.0);
     for (auto& [id, node] : nodes) judge(*node);
+    threads = 0, memory = 0;  // what is lost or stands at a node that rests takes no place
+    for (auto& [id, node] : nodes)
+      for (auto& cmd : node->out)
+        if (!node->resting && !isOverdue(*cmd, std::max(1.0, stretch)))
+          threads += cmd->profile().threads, memory += cmd->grant;
     if (any != pressure) log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
     pressure = any;
     if (overload && now > overloadUntil) overload = false, log("overload over: %zu held", held.size());
