--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,7 +28,7 @@
 namespace {
 
 // --- tuned values (seconds, threads a core, multiples)
-constexpr double kMark = 1.5;                            // threads a core, all gateways together
+constexpr double kMark = 1.2;                            // threads a core, all gateways together
 constexpr double kUseCut = 0.85, kReportFresh = 0.5;   // a fresh report under the cut: under the mark
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work;
 constexpr double kWaitLeast = 0.2, kWaitMost = 3;      // it grows with the work: draws are paid as turns are
@@ -667,7 +667,7 @@
     threads = 0, memory = 0;  // what is lost or stands at a node that rests takes no place
     for (auto& [id, node] : nodes)
       for (auto& cmd : node->out)
-        if (!node->resting && !isOverdue(*cmd, std::max(1.0, stretch)))
+        if (!node->resting)
           threads += cmd->profile().threads, memory += cmd->grant;
     if (any != pressure) log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
     pressure = any;
