--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,7 +28,7 @@
 namespace {
 
 // --- tuned values (seconds, threads a core, multiples)
-constexpr double kMark = 1.2;                            // threads a core, all gateways together
+constexpr double kMark = 2, kUnseen = 0.3;                            // threads a core, all gateways together
 constexpr double kUseCut = 0.85, kReportFresh = 0.5;   // a fresh report under the cut: under the mark
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work;
 constexpr double kWaitLeast = 0.2, kWaitMost = 3;      // it grows with the work: draws are paid as turns are
@@ -37,7 +37,7 @@
 constexpr double kPrior = 3;  // usual runs for which the fleet's latency counts at each node
 constexpr double kFar = 1.6, kPressureHold = 1;        // latency over the best that shows pressure; its hold
 constexpr double kRatioCap = 4;                        // no latency counts as more: a bad plan says little
-constexpr double kMarkFall = 0.8, kMarkRise = 1.04;    // how the mark under pressure moves, a sweep;
+constexpr double kMarkFall = 0.8, kMarkRise = 0.25, kMarkFree = 6;    // how the mark under pressure moves, a sweep;
 constexpr double kVeryFar = 2.4, kMarkEase = 0.98, kMarkLeast = 0.75;  // and below its value, if very far
 constexpr double kDense = 2;                // sends a second to each node that tell how it is
 constexpr double kLeastPart = 0.125;        // no smaller part of the traffic weighs one thread more
@@ -390,7 +390,7 @@
   double fill(const Node& node, const Cmd& cmd) const {
     double own = cmd.profile().threads / 2.0;
     double others = (threads + own) / std::max(cores, 1.0) * (1 / share() - 1);
-    return ((node.threads + own) / able(node) + others) / (kMark * node.limit);
+    return ((node.threads + own) / able(node) + others) / (kMark * (1 - kUnseen * sparse) * node.limit);
   }
 
   bool fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
@@ -599,16 +599,14 @@
     node.took1 = took, node.rested = atRest;
     double prior = kPrior * usualRun;  // few answers of one node say little: the fleet's stand beside them
     node.stretch = atRest + prior > 0 ? (took + prior * stretch) / (atRest + prior) : 1;
-    node.limit = 1, node.pressed = true, node.pressedUntil = now + 100;
-    if (node.pressed) return;
     bool far = node.stretch > kFar && !node.resting;
     if (far) press(node);
     if (!node.pressed) return;
     if (far) {  // well below the mark only where latency stays far off, as when disks jam
       double least = node.stretch > kVeryFar ? kMarkLeast : std::min(1.0, node.limit);
       node.limit = std::max(least, node.limit * (node.limit > 1 ? kMarkFall : kMarkEase));
-    } else if (now > node.pressedUntil - kPressureHold / 2) node.limit *= kMarkRise;
-    if (now > node.pressedUntil && node.limit > 2.0 * set.gateways) node.pressed = false;
+    } else if (now > node.pressedUntil - kPressureHold / 2) node.limit *= 1 + kMarkRise * weight;
+    if (now > node.pressedUntil && node.limit > kMarkFree) node.pressed = false;
   }
 
   // Shedding: ends what can't be in time any more and, while the backlog needs more than a part of the slack
@@ -659,7 +657,8 @@
     double took = 0, rested = 0;
     for (auto& [ratio, rest] : ratios) took += ratio * rest, rested += rest;
     stretch = rested > 0 ? took / rested : 1;
-    double span = std::clamp(now - openedAt, 5.0, 20.0), weight = std::min(1.0, kSweep * taken.sum(now) / span / double(kAnswers));
+    double span = std::clamp(now - openedAt, 5.0, 20.0);
+    weight = std::min(1.0, kSweep * taken.sum(now) / span / double(kAnswers));
     if (quotas > 0 && usualWork > 0) trafficPart = doneLong.sum(now) / span / quotas / usualWork;
     usualMemory += weight * (memory - usualMemory);
     sparse = std::clamp(1 - (allOks + allFails) / kFailSpan / std::max(1.0, listed) / kDense, 0.0, 1.0);
@@ -725,6 +724,7 @@
   int threads = 0;     // of our sends everywhere
   double stretch = 1;  // latency over the best, of all that don't rest
   double memory = 0, usualMemory = 0;
+  double weight = 0;  // part of the last answers that are new since the last sweep
   double sparse = 0;  // 1: hardly any of our sends come to one node; 0: enough to see how it is
   double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
   std::deque<std::pair<double, double>> answers;  // latency over the best of the last ones, and at rest
