--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -236,10 +236,10 @@
     cmd->timeoutAt = now + arrival.timeLeft;
     taken.add(now, 1);
     takenInSpan.add(now, 1);
-    double weight = 1;
+    double due = 1;
     for (auto& tenant : set.tenants)
-      if (tenant.name == arrival.tenant) weight = std::max(tenant.share * double(set.tenants.size()), 0.01);
-    cmd->leaf = &root.child(arrival.tenant, weight).child(profile.name, 1);
+      if (tenant.name == arrival.tenant) due = std::max(tenant.share * double(set.tenants.size()), 0.01);
+    cmd->leaf = &root.child(arrival.tenant, due).child(profile.name, 1);
     if (cmd->key) keys[*cmd->key].line.push_back(cmd);
     else hold(*cmd, false);
     held.push_back(cmd);
@@ -599,11 +599,11 @@
     node.took1 = took, node.rested = atRest;
     double prior = kPrior * usualRun;  // few answers of one node say little: the fleet's stand beside them
     node.stretch = atRest + prior > 0 ? (took + prior * stretch) / (atRest + prior) : 1;
-    bool far = node.stretch > kFar && !node.resting;
+    bool far = node.stretch > kFar - 0.3 * sparse && !node.resting;
     if (far) press(node);
     if (!node.pressed) return;
     if (far) {  // well below the mark only where latency stays far off, as when disks jam
-      double least = node.stretch > kVeryFar ? kMarkLeast : std::min(1.0, node.limit);
+      double least = node.stretch > kVeryFar ? 1 - (1 - kMarkLeast) * (1 - sparse) : std::min(1.0, node.limit);
       node.limit = std::max(least, node.limit * (node.limit > 1 ? kMarkFall : kMarkEase));
     } else if (now > node.pressedUntil - kPressureHold / 2) node.limit *= 1 + kMarkRise * weight;
     if (now > node.pressedUntil && node.limit > kMarkFree) node.pressed = false;
