--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -46,6 +46,7 @@
 constexpr double kFarZone = 1, kApart = 1;  // so too a crossing that is charged, and a load's side of a rank
 constexpr double kSweep = 0.05, kClock = 1e-6;   // time between sweeps; no clock is finer
 constexpr double kMemoryUse = 0.85;              // part of a node's memory to fill
+constexpr double kOwnGrant = 1.25;               // an engine's own grant, over the raw estimate
 constexpr double kGrantSpare = 1.4;              // grant over the corrected estimate
 constexpr double kSafeCapacity = 0.4;            // part of a cold node's cores that surely is its capacity
 constexpr double kRestFirst = 1, kRestLast = 8;  // rest of a failing node, doubled at each relapse
@@ -231,7 +232,8 @@
     auto drift = [](double& mean, double value) { mean += (value - mean) * (mean > 0 ? kLearn : 1); };
     drift(row->usualWork, cmd->work), drift(usualWork, cmd->work), drift(usualRun, cmd->run());
     if (profile.load) drift(loadRun, cmd->run());
-    cmd->memory = arrival.memoryMb * row->memoryRatio;
+    bool line = !set.grants && set.shortMemory == ShortMemory::lineUp;  // there the engine's own grant counts
+    cmd->memory = arrival.memoryMb * (line ? kOwnGrant : row->memoryRatio);
     cmd->targetAt = now + profile.target + profile.targetStretch * cmd->run();
     cmd->timeoutAt = now + arrival.timeLeft;
     taken.add(now, 1);
@@ -777,8 +779,8 @@
   } else if (ownTrial && was.resting && !answered && what != Outcome::full && what != Outcome::unused) {
     core.rest(was, "trial failed", was.trials, core.evidence());
   }
-  // What spilled for want of memory tells nothing of the load. (An engine's own grant: a quarter more.)
-  bool spilled = bill && bill->memoryMb > (core.set.grants ? grant : 1.25 * estimateMb) && estimateMb > 0;
+  // What spilled for want of memory tells nothing of the load.
+  bool spilled = bill && bill->memoryMb > (core.set.grants ? grant : kOwnGrant * estimateMb) && estimateMb > 0;
   if (answered) core.learn(*this, took, bill);
   if (answered && !ownTrial && !spilled) {
     double most = std::min(took, kRatioCap * atRest());
