--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -39,6 +39,7 @@
 constexpr double kRatioCap = 4;                        // no latency counts as more: a bad plan says little
 constexpr double kMarkFall = 0.8, kMarkRise = 0.25, kMarkFree = 6;    // how the mark under pressure moves, a sweep;
 constexpr double kVeryFar = 2.4, kMarkEase = 0.98, kMarkLeast = 0.75;  // and below its value, if very far
+constexpr double kSpread = 3;
 constexpr double kDense = 2;                // sends a second to each node that tell how it is
 constexpr double kLeastPart = 0.125;        // no smaller part of the traffic weighs one thread more
 constexpr double kSpare = 1.3, kOver = 1;   // a node's part of our sends; what sends beyond it weigh
@@ -237,6 +238,7 @@
     cmd->targetAt = now + profile.target + profile.targetStretch * cmd->run();
     cmd->timeoutAt = now + arrival.timeLeft;
     taken.add(now, 1);
+    seen[cmd->tables] += 1, ++allSeen;
     takenInSpan.add(now, 1);
     double due = 1;
     for (auto& tenant : set.tenants)
@@ -370,7 +372,7 @@
       if (!slot) {
         slot = std::make_unique<Node>();
         slot->id = row.id, slot->lastLife = now;
-        for (size_t i = 0; i < rows.size(); ++i) slot->credit.push_back(chance.between(-1, 1));
+        for (size_t i = 0; i < rows.size(); ++i) slot->credit.push_back(chance.between(-2, 0));
         slot->coldWork = TimeRing(std::max(set.fallTime * 1.1, 0.001));
       }
       Node& node = *slot;
@@ -451,10 +453,11 @@
       if (apart && node->listed) ranks.push_back(mix(id, cmd.tables, node->cores));
     auto side = ranks.begin() + long(ranks.size() + 2) / 3;
     std::ranges::nth_element(ranks, side);
+    double spread = sparse * kSpread * seen[cmd.tables] / (allSeen + 20) * listed / std::max(1.0, cores);
     for (auto& [id, node] : nodes) {
       if (!allowed(*node, cmd)) continue;
       double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone : 0;
-      double rank = mix(id, cmd.tables, node->cores);
+      double rank = mix(id, cmd.tables, node->cores) - spread * chance.unit();
       if (apart && (side != ranks.end() && rank < *side) != cmd.profile().load) extra += kApart;
       if (node->credit[&cmd.row - rows.data()] < 0) extra += kOver * sparse;
       if (node->resting && evidence() >= kTrials) extra -= 1e6;  // a trial that is due is taken
@@ -516,7 +519,7 @@
     for (auto& [id, other] : nodes) {
       if (!other->listed || other->resting) continue;
       double& credit = other->credit[&cmd.row - rows.data()];
-      credit = std::min(credit + kSpare * able(*other) / cores, 1.0);
+      credit = std::min(credit + kSpare * able(*other) / cores, 0.0);
     }
     node.credit[&cmd.row - rows.data()] -= 1;
     double wait = timeout(cmd, node);
@@ -730,6 +733,8 @@
   double sparse = 0;  // 1: hardly any of our sends come to one node; 0: enough to see how it is
   double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
   std::deque<std::pair<double, double>> answers;  // latency over the best of the last ones, and at rest
+  std::map<uint64_t, double> seen;  // commands taken by group
+  double allSeen = 0;
   std::vector<std::pair<double, double>> ratios;  // and of sends overdue
   double allFails = 0, allOks = 0, allTook = 0, allRest = 0;  // of all nodes that don't rest
 };
