--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -54,7 +54,7 @@
 constexpr double kFullPause = 0.3;               // no sends after a full refusal
 constexpr double kFailSpan = 4, kFailShare = 0.2,
                  kFailLead = 2;  // failures that blame a node, over the others'
-constexpr double kQuiet = 0.5, kQuietGaps = 10, kQuietAlone = 2;  // silence that blames a node
+constexpr double kQuiet = 0.5;  // no command is overdue sooner
 constexpr double kTrials = 3;             // failures that blame a node at most; trials that clear it
 constexpr int kFurther = 2;               // further sends of a command
 constexpr double kBacklog = 0.2;          // part of the held commands' slack that the backlog may need
@@ -144,11 +144,9 @@
   double memory = 0;  // of our sends there
   TimeRing took{1}, rest{1}, fails{kFailSpan}, oks{kFailSpan}, coldWork{1};
   std::vector<double> credit;  // by profile: sends that are due to it as its part of ours
-  double took1 = 0, rested = 0, stretch = 1, limit = 1;  // latency, over the best; the mark's multiple
+  double stretch = 1, limit = 1;  // latency, over the best; the mark's multiple
   double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
-  double lastLife = 0, gap = 0.1;  // last sign of life, usual time between two
-  int late = 0;                    // sends overdue now
-  std::set<uint64_t> lost;         // groups of the sends timed out since then
+  int late = 0;  // sends overdue now
   double restUntil = 0, restTime = kRestFirst, pause = kFullPause, wellSince = 0;
   int trials = 0;
   bool pressed = false, resting = false, trialOut = false;
@@ -322,12 +320,6 @@
     held.push_back(cmd.shared_from_this());
   }
 
-  void seeLife(Node& node) {
-    node.gap += (std::min(now - node.lastLife, 1.0) - node.gap) * 0.1;
-    node.lastLife = now;
-    node.lost.clear();
-  }
-
   void seeReport(Node& node, const Report* report) {
     if (!report) return;
     if (report->utilisation) {
@@ -371,7 +363,7 @@
       auto& slot = nodes[row.id];
       if (!slot) {
         slot = std::make_unique<Node>();
-        slot->id = row.id, slot->lastLife = now;
+        slot->id = row.id;
         for (size_t i = 0; i < rows.size(); ++i) slot->credit.push_back(chance.between(-2, 0));
         slot->coldWork = TimeRing(std::max(set.fallTime * 1.1, 0.001));
       }
@@ -512,7 +504,6 @@
     if (set.priorities || grant > 0) out.terms(cmd, priority, grant);
     if (cold(node)) node.coldWork.add(now, std::max(cmd.work, cmd.row.usualWork));
     if (node.resting) cmd.trial = node.trialOut = true;
-    if (node.out.empty()) node.lastLife = std::max(node.lastLife, now - node.gap);
     node.out.push_back(cmd.shared_from_this());
     memory += cmd.grant;
     threads += cmd.profile().threads, node.threads += cmd.profile().threads, node.memory += cmd.grant;
@@ -546,11 +537,6 @@
     log("node %u is back: %d trials answered", node.id, node.trials);
   }
 
-  double stretchBut(const Node& node) const {  // latency over the best at the other nodes that don't rest
-    double rested = allRest - node.rested;
-    return rested > 0 ? std::clamp((allTook - node.took1) / rested, 1.0, kRatioCap) : 1;
-  }
-
   bool isOverdue(const Cmd& cmd, double usual) const {
     return now - cmd.sentAt > kQuiet + kTimeoutRuns * cmd.atRest() * usual;
   }
@@ -558,35 +544,25 @@
   // Failures that blame a node, and trials that clear it: fewer where few sends come to one node.
   double evidence() const { return std::clamp((allOks + allFails) / std::max(1.0, listed), 1.0, kTrials); }
 
-  // Health: a node is to blame only for what the others don't show at the same time.
+  // Health: a node is to blame only for what the others don't show at the same time. Overdue commands of one
+  // group that may all wait for one load count as one.
   void judge(Node& node) {
     if (node.resting) return;
-    double oks = node.oks.sum(now), nodeFails = node.fails.sum(now);
+    double oks = node.oks.sum(now), nodeFails = node.fails.sum(now), usual = std::clamp(stretch, 1.0, kRatioCap);
     double otherFails = allFails - nodeFails - node.late, otherOks = allOks - oks;
-    double usual = stretchBut(node);
-    auto overdue = node.lost;  // by groups, since a load may hold up all commands of one
+    std::set<uint64_t> groups;
     allFails -= std::exchange(node.late, 0);
-    for (auto& cmd : node.out)
-      if (isOverdue(*cmd, usual))
-        overdue.insert(cmd->tables), node.late += !cmd->profile().yields && cmd->sentAt > node.wellSince;
+    for (auto& cmd : node.out) {
+      if (now - cmd->sentAt <= kQuiet + kTimeoutRuns * cmd->atRest() * usual || cmd->sentAt < node.wellSince) continue;
+      if (!cmd->profile().yields) ++node.late;
+      else if (groups.insert(cmd->tables).second && groups.size() > 1) ++node.late;
+    }
     allFails += node.late;
     double fails = nodeFails + node.late, share = fails / std::max(fails + oks, 1.0);
     double others = otherFails / std::max(otherFails + otherOks, 1.0);
     bool worse = (fails + 1) * otherOks > kFailLead * (otherFails + 1) * (oks + 1);  // by odds
-    double quiet = now - node.lastLife;
-    if (fails >= evidence() && share > kFailShare + others / 2 && worse)
-      return rest(node, "it fails", share, others);
-    double alone = overdue.size() < 2 ? kQuietAlone + 2 * loadRun * loadsHold : 0;
-    double enough = std::max({kQuiet, kQuietGaps * node.gap, alone});
-    if (overdue.empty() || quiet < enough) return;
-    int lively = 0, busy = 0;
-    for (auto& [id, other] : nodes) {
-      bool alive = now - other->lastLife < quiet / 2;
-      if (other.get() == &node || other->resting || (other->out.empty() && !alive)) continue;
-      ++busy, lively += alive;
-    }
-    if (busy == 0 || lively * 3 < busy) return;
-    rest(node, "silent", quiet, node.gap);
+    if (fails < evidence() || share <= kFailShare + others / 2 || !worse) return;
+    rest(node, "it fails", share, others);
     if (set.cancel)
       for (auto& cmd : node.out)
         if (!cmd->cancelled && cmd->profile().effect != Effect::nonReplayable)
@@ -599,9 +575,7 @@
       double past = std::min(now - cmd->sentAt, kRatioCap * cmd->atRest()), rest = cmd->atRest();
       if (past <= kFar * rest) continue;
       took += past, atRest += rest;
-      if (!node.resting && past >= kRatioCap * rest) ratios.push_back({past / rest, rest});
     }
-    node.took1 = took, node.rested = atRest;
     double prior = kPrior * usualRun;  // few answers of one node say little: the fleet's stand beside them
     node.stretch = atRest + prior > 0 ? (took + prior * stretch) / (atRest + prior) : 1;
     bool far = node.stretch > kFar - 0.3 * sparse && !node.resting;
@@ -650,17 +624,15 @@
     cores = memoryMb = listed = 0;
     for (auto& [id, node] : nodes)
       if (node->listed && !node->resting) cores += able(*node), memoryMb += node->memoryMb, ++listed;
-    ratios.assign(answers.begin(), answers.end());
-    double worst = allFails = allOks = allRest = allTook = 0;
+    double worst = allFails = allOks = 0;
     for (auto& [id, node] : nodes) {
       moveMark(*node);
       any |= node->pressed && node->listed, worst = std::max(worst, node->stretch);
       if (node->resting) continue;
       allFails += node->fails.sum(now) + node->late, allOks += node->oks.sum(now);
-      allRest += node->rested, allTook += node->took1;
     }
     double took = 0, rested = 0;
-    for (auto& [ratio, rest] : ratios) took += ratio * rest, rested += rest;
+    for (auto& [ratio, rest] : answers) took += ratio * rest, rested += rest;
     stretch = rested > 0 ? took / rested : 1;
     double span = std::clamp(now - openedAt, 5.0, 20.0);
     weight = std::min(1.0, kSweep * taken.sum(now) / span / double(kAnswers));
@@ -735,14 +707,12 @@
   std::deque<std::pair<double, double>> answers;  // latency over the best of the last ones, and at rest
   std::map<uint64_t, double> seen;  // commands taken by group
   double allSeen = 0;
-  std::vector<std::pair<double, double>> ratios;  // and of sends overdue
-  double allFails = 0, allOks = 0, allTook = 0, allRest = 0;  // of all nodes that don't rest
+  double allFails = 0, allOks = 0;  // of all nodes that don't rest
 };
 
 // --- what happens to a command
 void Cmd::note(Topic topic, double) {
   if (!node) return;
-  core.seeLife(*node);
   if (topic == Topic::waits && !over) core.press(*node);
 }
 
@@ -768,16 +738,12 @@
   if (ran && ranAt < 0) ranAt = sentAt, ranOn = &was;
   if (key && (what == Outcome::expired || what == Outcome::reset || what == Outcome::cancelled))
     core.keys[*key].quietUntil = core.now + core.set.keyQuiet;
-  if (what == Outcome::expired) {
-    if (!profile().yields)
-      row.took.add(core.now, took), row.rest.add(core.now, atRest());  // at least so long
-    if (was.lastLife <= sentAt) was.lost.insert(tables);
-  }
+  if (what == Outcome::expired && !profile().yields)
+    row.took.add(core.now, took), row.rest.add(core.now, atRest());  // at least so long
   bool answered = what == Outcome::answered;
   if (answered) was.oks.add(core.now, 1), was.pause = kFullPause;
   if (what == Outcome::error || (what == Outcome::expired && !profile().yields)) was.fails.add(core.now, 1);
   if (what == Outcome::connectFailed || what == Outcome::reset) was.fails.add(core.now, 2);
-  if (answered || what == Outcome::error || what == Outcome::full) core.seeLife(was);
   if (what == Outcome::full) core.press(was), core.pause(was);  // else it draws all
   if (ownTrial && was.resting && answered && ++was.trials >= core.evidence()) {
     core.well(was);
