--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -575,6 +575,7 @@
       double past = std::min(now - cmd->sentAt, kRatioCap * cmd->atRest()), rest = cmd->atRest();
       if (past <= kFar * rest) continue;
       took += past, atRest += rest;
+      if (!node.resting && past >= kRatioCap * rest) lateTook += past, lateRest += rest;
     }
     double prior = kPrior * usualRun;  // few answers of one node say little: the fleet's stand beside them
     node.stretch = atRest + prior > 0 ? (took + prior * stretch) / (atRest + prior) : 1;
@@ -624,16 +625,16 @@
     cores = memoryMb = listed = 0;
     for (auto& [id, node] : nodes)
       if (node->listed && !node->resting) cores += able(*node), memoryMb += node->memoryMb, ++listed;
-    double worst = allFails = allOks = 0;
+    double worst = lateTook = lateRest = allFails = allOks = 0;
     for (auto& [id, node] : nodes) {
       moveMark(*node);
       any |= node->pressed && node->listed, worst = std::max(worst, node->stretch);
       if (node->resting) continue;
       allFails += node->fails.sum(now) + node->late, allOks += node->oks.sum(now);
     }
-    double took = 0, rested = 0;
-    for (auto& [ratio, rest] : answers) took += ratio * rest, rested += rest;
-    stretch = rested > 0 ? took / rested : 1;
+    stretch = 1;
+    for (auto& [ratio, rest] : answers) lateTook += ratio * rest, lateRest += rest;
+    if (lateRest > 0) stretch = lateTook / lateRest;
     double span = std::clamp(now - openedAt, 5.0, 20.0);
     weight = std::min(1.0, kSweep * taken.sum(now) / span / double(kAnswers));
     if (quotas > 0 && usualWork > 0) trafficPart = doneLong.sum(now) / span / quotas / usualWork;
@@ -707,6 +708,7 @@
   std::deque<std::pair<double, double>> answers;  // latency over the best of the last ones, and at rest
   std::map<uint64_t, double> seen;  // commands taken by group
   double allSeen = 0;
+  double lateTook = 0, lateRest = 0;  // of the last answers and what is overdue
   double allFails = 0, allOks = 0;  // of all nodes that don't rest
 };
 
