--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -146,7 +146,8 @@
   std::vector<double> credit;  // by profile: sends that are due to it as its part of ours
   double stretch = 1, limit = 1;  // latency, over the best; the mark's multiple
   double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
-  int late = 0;  // sends overdue now
+  int late = 0;          // sends overdue now
+  double lastLife = -1;  // last answer, refusal or note
   double restUntil = 0, restTime = kRestFirst, pause = kFullPause, wellSince = 0;
   int trials = 0;
   bool pressed = false, resting = false, trialOut = false;
@@ -551,13 +552,16 @@
     double oks = node.oks.sum(now), nodeFails = node.fails.sum(now), usual = std::clamp(stretch, 1.0, kRatioCap);
     double otherFails = allFails - nodeFails - node.late, otherOks = allOks - oks;
     std::set<uint64_t> groups;
+    bool silent = true;
     allFails -= std::exchange(node.late, 0);
     for (auto& cmd : node.out) {
       if (now - cmd->sentAt <= kQuiet + kTimeoutRuns * cmd->atRest() * usual || cmd->sentAt < node.wellSince) continue;
+      silent &= node.lastLife < cmd->sentAt;
       if (!cmd->profile().yields) ++node.late;
       else if (groups.insert(cmd->tables).second && groups.size() > 1) ++node.late;
     }
     allFails += node.late;
+    if (silent && node.late > 0) oks = 0;  // what it answered before tells nothing any more
     double fails = nodeFails + node.late, share = fails / std::max(fails + oks, 1.0);
     double others = otherFails / std::max(otherFails + otherOks, 1.0);
     bool worse = (fails + 1) * otherOks > kFailLead * (otherFails + 1) * (oks + 1);  // by odds
@@ -715,6 +719,7 @@
 // --- what happens to a command
 void Cmd::note(Topic topic, double) {
   if (!node) return;
+  node->lastLife = core.now;
   if (topic == Topic::waits && !over) core.press(*node);
 }
 
@@ -743,6 +748,7 @@
   if (what == Outcome::expired && !profile().yields)
     row.took.add(core.now, took), row.rest.add(core.now, atRest());  // at least so long
   bool answered = what == Outcome::answered;
+  if (answered || what == Outcome::error || what == Outcome::full) was.lastLife = core.now;
   if (answered) was.oks.add(core.now, 1), was.pause = kFullPause;
   if (what == Outcome::error || (what == Outcome::expired && !profile().yields)) was.fails.add(core.now, 1);
   if (what == Outcome::connectFailed || what == Outcome::reset) was.fails.add(core.now, 2);
