--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -450,7 +450,7 @@
     for (auto& [id, node] : nodes) {
       if (!allowed(*node, cmd)) continue;
       double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone : 0;
-      double rank = mix(id, cmd.tables, node->cores) - spread * chance.unit();
+      double rank = mix(id, cmd.tables, node->cores) - (spread > 0 ? spread * chance.unit() : 0);
       if (apart && (side != ranks.end() && rank < *side) != cmd.profile().load) extra += kApart;
       if (node->credit[&cmd.row - rows.data()] < 0) extra += kOver * sparse;
       if (node->resting && evidence() >= kTrials) extra -= 1e6;  // a trial that is due is taken
