--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -39,12 +39,11 @@
 constexpr double kRatioCap = 4;                        // no latency counts as more: a bad plan says little
 constexpr double kMarkFall = 0.8, kMarkRise = 0.25, kMarkFree = 6;    // how the mark under pressure moves, a sweep;
 constexpr double kVeryFar = 2.4, kMarkEase = 0.98, kMarkLeast = 0.75;  // and below its value, if very far
-constexpr double kSpread = 3;
 constexpr double kDense = 2;                // sends a second to each node that tell how it is
 constexpr double kLeastPart = 0.125;        // no smaller part of the traffic weighs one thread more
 constexpr double kSpare = 1.3, kOver = 1;   // a node's part of our sends; what sends beyond it weigh
 constexpr double kBand = 0.5;               // how far the first in rank may stand above the least loaded;
-constexpr double kFarZone = 1, kApart = 1;  // so too a crossing that is charged, and a load's side of a rank
+constexpr double kFarZone = 1, kApart = 1, kLoadSide = 1 / 3.0;  // so too a crossing that is charged, and a load's side of a rank
 constexpr double kSweep = 0.05, kClock = 1e-6;   // time between sweeps; no clock is finer
 constexpr double kMemoryUse = 0.85;              // part of a node's memory to fill
 constexpr double kOwnGrant = 1.25;               // an engine's own grant, over the raw estimate
@@ -146,8 +145,7 @@
   std::vector<double> credit;  // by profile: sends that are due to it as its part of ours
   double stretch = 1, limit = 1;  // latency, over the best; the mark's multiple
   double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
-  int late = 0;          // sends overdue now
-  double lastLife = -1;  // last answer, refusal or note
+  int late = 0;  // sends overdue now
   double restUntil = 0, restTime = kRestFirst, pause = kFullPause, wellSince = 0;
   int trials = 0;
   bool pressed = false, resting = false, trialOut = false;
@@ -184,11 +182,11 @@
   bool held = false, over = false, streaming = false, trial = false, cancelled = false;
 };
 
-double mix(uint32_t node, uint64_t group, double cores) {  // rendezvous hash, weighted
+double mix(uint32_t node, uint64_t group) {  // rendezvous hash, in (0, 1)
   uint64_t h = (group + 0x9e3779b97f4a7c15ULL) * 0xbf58476d1ce4e5b9ULL ^ (node * 0x94d049bb133111ebULL);
   h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9ULL;
   h = (h ^ (h >> 27)) * 0x94d049bb133111ebULL;
-  return std::log((static_cast<double>((h ^ (h >> 31)) >> 11) + 0.5) * 0x1p-53) / cores;
+  return (static_cast<double>((h ^ (h >> 31)) >> 11) + 0.5) * 0x1p-53;
 }
 
 struct Core final : Gateway {
@@ -232,12 +230,10 @@
     auto drift = [](double& mean, double value) { mean += (value - mean) * (mean > 0 ? kLearn : 1); };
     drift(row->usualWork, cmd->work), drift(usualWork, cmd->work), drift(usualRun, cmd->run());
     if (profile.load) drift(loadRun, cmd->run());
-    bool line = !set.grants && set.shortMemory == ShortMemory::lineUp;  // there the engine's own grant counts
-    cmd->memory = arrival.memoryMb * (line ? kOwnGrant : row->memoryRatio);
+    cmd->memory = arrival.memoryMb * row->memoryRatio;
     cmd->targetAt = now + profile.target + profile.targetStretch * cmd->run();
     cmd->timeoutAt = now + arrival.timeLeft;
     taken.add(now, 1);
-    seen[cmd->tables] += 1, ++allSeen;
     takenInSpan.add(now, 1);
     double due = 1;
     for (auto& tenant : set.tenants)
@@ -441,17 +437,11 @@
   Node* pick(Cmd& cmd) {
     std::vector<std::tuple<Node*, double, double>> choices[2];  // node, load, rank; [1]: with a place
     bool apart = loadsHold && (cmd.profile().load || cmd.profile().yields);
-    std::vector<double> ranks;  // a group's loads to the last third of its rank, their waiters to the rest
-    for (auto& [id, node] : nodes)
-      if (apart && node->listed) ranks.push_back(mix(id, cmd.tables, node->cores));
-    auto side = ranks.begin() + long(ranks.size() + 2) / 3;
-    std::ranges::nth_element(ranks, side);
-    double spread = sparse * kSpread * seen[cmd.tables] / (allSeen + 20) * listed / std::max(1.0, cores);
     for (auto& [id, node] : nodes) {
       if (!allowed(*node, cmd)) continue;
       double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone : 0;
-      double rank = mix(id, cmd.tables, node->cores) - (spread > 0 ? spread * chance.unit() : 0);
-      if (apart && (side != ranks.end() && rank < *side) != cmd.profile().load) extra += kApart;
+      double hash = mix(id, cmd.tables), rank = std::log(hash) / node->cores;
+      if (apart && (hash < kLoadSide) != cmd.profile().load) extra += kApart;  // loads keep to their side
       if (node->credit[&cmd.row - rows.data()] < 0) extra += kOver * sparse;
       if (node->resting && evidence() >= kTrials) extra -= 1e6;  // a trial that is due is taken
       if (node.get() == cmd.avoid) extra += 1e6;
@@ -552,16 +542,13 @@
     double oks = node.oks.sum(now), nodeFails = node.fails.sum(now), usual = std::clamp(stretch, 1.0, kRatioCap);
     double otherFails = allFails - nodeFails - node.late, otherOks = allOks - oks;
     std::set<uint64_t> groups;
-    bool silent = true;
     allFails -= std::exchange(node.late, 0);
     for (auto& cmd : node.out) {
       if (now - cmd->sentAt <= kQuiet + kTimeoutRuns * cmd->atRest() * usual || cmd->sentAt < node.wellSince) continue;
-      silent &= node.lastLife < cmd->sentAt;
       if (!cmd->profile().yields) ++node.late;
       else if (groups.insert(cmd->tables).second && groups.size() > 1) ++node.late;
     }
     allFails += node.late;
-    if (silent && node.late > 0) oks = 0;  // what it answered before tells nothing any more
     double fails = nodeFails + node.late, share = fails / std::max(fails + oks, 1.0);
     double others = otherFails / std::max(otherFails + otherOks, 1.0);
     bool worse = (fails + 1) * otherOks > kFailLead * (otherFails + 1) * (oks + 1);  // by odds
@@ -710,8 +697,6 @@
   double sparse = 0;  // 1: hardly any of our sends come to one node; 0: enough to see how it is
   double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
   std::deque<std::pair<double, double>> answers;  // latency over the best of the last ones, and at rest
-  std::map<uint64_t, double> seen;  // commands taken by group
-  double allSeen = 0;
   double lateTook = 0, lateRest = 0;  // of the last answers and what is overdue
   double allFails = 0, allOks = 0;  // of all nodes that don't rest
 };
@@ -719,7 +704,6 @@
 // --- what happens to a command
 void Cmd::note(Topic topic, double) {
   if (!node) return;
-  node->lastLife = core.now;
   if (topic == Topic::waits && !over) core.press(*node);
 }
 
@@ -748,7 +732,6 @@
   if (what == Outcome::expired && !profile().yields)
     row.took.add(core.now, took), row.rest.add(core.now, atRest());  // at least so long
   bool answered = what == Outcome::answered;
-  if (answered || what == Outcome::error || what == Outcome::full) was.lastLife = core.now;
   if (answered) was.oks.add(core.now, 1), was.pause = kFullPause;
   if (what == Outcome::error || (what == Outcome::expired && !profile().yields)) was.fails.add(core.now, 1);
   if (what == Outcome::connectFailed || what == Outcome::reset) was.fails.add(core.now, 2);
