--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,22 +28,24 @@
 namespace {
 
 // --- tuned values (seconds, threads a core, multiples)
-constexpr double kMark = 2, kUnseen = 0.3;                            // threads a core, all gateways together
+constexpr double kMark = 2, kUnseen = 0.3;             // threads a core, all gateways together
 constexpr double kUseCut = 0.85, kReportFresh = 0.5;   // a fresh report under the cut: under the mark
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work;
 constexpr double kWaitLeast = 0.2, kWaitMost = 3;      // it grows with the work: draws are paid as turns are
 constexpr double kQuantum = 0.05, kCredit = 40;        // work that a turn pays for; most turns put by
-constexpr size_t kAnswers = 20;               // answers that tell the fleet's latency
+constexpr size_t kAnswers = 20;                        // answers that tell the fleet's latency
 constexpr double kPrior = 3;  // usual runs for which the fleet's latency counts at each node
-constexpr double kFar = 1.6, kPressureHold = 1;        // latency over the best that shows pressure; its hold
-constexpr double kRatioCap = 4;                        // no latency counts as more: a bad plan says little
-constexpr double kMarkFall = 0.8, kMarkRise = 0.25, kMarkFree = 6;    // how the mark under pressure moves, a sweep;
+constexpr double kFar = 1.6, kPressureHold = 1;  // latency over the best that shows pressure; its hold
+constexpr double kRatioCap = 4;                  // no latency counts as more: a bad plan says little
+constexpr double kMarkFall = 0.8, kMarkRise = 0.25,
+                 kMarkFree = 6;  // how the mark under pressure moves, a sweep;
 constexpr double kVeryFar = 2.4, kMarkEase = 0.98, kMarkLeast = 0.75;  // and below its value, if very far
-constexpr double kDense = 2;                // sends a second to each node that tell how it is
-constexpr double kLeastPart = 0.125;        // no smaller part of the traffic weighs one thread more
-constexpr double kSpare = 1.3, kOver = 1;   // a node's part of our sends; what sends beyond it weigh
-constexpr double kBand = 0.5;               // how far the first in rank may stand above the least loaded;
-constexpr double kFarZone = 1, kApart = 1, kLoadSide = 1 / 3.0;  // so too a crossing that is charged, and a load's side of a rank
+constexpr double kDense = 2;               // sends a second to each node that tell how it is
+constexpr double kLeastPart = 0.125;       // no smaller part of the traffic weighs one thread more
+constexpr double kSpare = 1.3, kOver = 1;  // a node's part of our sends; what sends beyond it weigh
+constexpr double kBand = 0.5;              // how far the first in rank may stand above the least loaded;
+constexpr double kFarZone = 1, kApart = 1,
+                 kLoadSide = 1 / 3.0;  // so too a crossing that is charged, and a load's side of a rank
 constexpr double kSweep = 0.05, kClock = 1e-6;   // time between sweeps; no clock is finer
 constexpr double kMemoryUse = 0.85;              // part of a node's memory to fill
 constexpr double kOwnGrant = 1.25;               // an engine's own grant, over the raw estimate
@@ -52,11 +54,11 @@
 constexpr double kRestFirst = 1, kRestLast = 8;  // rest of a failing node, doubled at each relapse
 constexpr double kFullPause = 0.3;               // no sends after a full refusal
 constexpr double kFailSpan = 4, kFailShare = 0.2,
-                 kFailLead = 2;  // failures that blame a node, over the others'
-constexpr double kQuiet = 0.5;  // no command is overdue sooner
-constexpr double kTrials = 3;             // failures that blame a node at most; trials that clear it
-constexpr int kFurther = 2;               // further sends of a command
-constexpr double kBacklog = 0.2;          // part of the held commands' slack that the backlog may need
+                 kFailLead = 2;        // failures that blame a node, over the others'
+constexpr double kQuiet = 0.5;         // no command is overdue sooner
+constexpr double kTrials = 3;          // failures that blame a node at most; trials that clear it
+constexpr int kFurther = 2;            // further sends of a command
+constexpr double kBacklog = 0.2;       // part of the held commands' slack that the backlog may need
 constexpr double kOverloadHold = 0.5;  // overload lasts so long after the last command shed for want of room
 constexpr double kTooLate = 0.8;       // part of the run at rest that must still fit before target or end
 constexpr double kTimeoutRuns = 3;     // a send's time-out, in usual runs
@@ -71,7 +73,6 @@
   double workRatio = 1, memoryRatio = 1;  // bills over estimates
   double usualWork = 0;                   // mean work of a command
   double best = 1;                        // latency at rest over the corrected estimate
-  TimeRing took{3}, rest{3};              // latency now and at rest, of answers
 };
 
 struct Turn {  // a queue of the tree: turns among its children and, as one more child, its own FIFO
@@ -142,7 +143,7 @@
   int threads = 0;    // of our sends there
   double memory = 0;  // of our sends there
   TimeRing took{1}, rest{1}, fails{kFailSpan}, oks{kFailSpan}, coldWork{1};
-  std::vector<double> credit;  // by profile: sends that are due to it as its part of ours
+  std::vector<double> credit;     // by profile: sends that are due to it as its part of ours
   double stretch = 1, limit = 1;  // latency, over the best; the mark's multiple
   double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
   int late = 0;  // sends overdue now
@@ -268,7 +269,8 @@
     cmd.over = true;
     const Profile& profile = cmd.profile();
     bool known = profile.effect == Effect::uniqued && profile.group == Group::all;
-    if (cmd.ranAt < 0 || profile.effect == Effect::replayable || known) out.shed(cmd, set.retryAfter && overload ? set.maxRetryAfter : 0);
+    if (cmd.ranAt < 0 || profile.effect == Effect::replayable || known)
+      out.shed(cmd, set.retryAfter && overload ? set.maxRetryAfter : 0);
     else out.fail(cmd);
     close(cmd);
   }
@@ -346,7 +348,6 @@
     double ratio = took / cmd.run();  // the best: a low quantile of latency over work
     row.best *= ratio < row.best ? 0.97 : 1.005;
     row.best = std::clamp(row.best, 0.4, 1.5);
-    row.took.add(now, took), row.rest.add(now, cmd.atRest());
   }
 
   // --- engines
@@ -389,8 +390,9 @@
   bool fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
     double ours = std::min(1.0, part() * (node.pressed ? node.limit : 1));
     if (set.shortMemory == ShortMemory::overcommit) ours = share();
-    double use = (node.memory + cmd.memory) / node.memoryMb +
-                 (node.pressed ? memory + cmd.memory : usualMemory) / std::max(memoryMb, 1.0) * (1 / ours - 1);
+    double use =
+        (node.memory + cmd.memory) / node.memoryMb +
+        (node.pressed ? memory + cmd.memory : usualMemory) / std::max(memoryMb, 1.0) * (1 / ours - 1);
     return node.memoryMb <= 0 || node.memory <= 0 || use <= kMemoryUse;
   }
 
@@ -472,9 +474,7 @@
     const Profile& profile = cmd.profile();
     bool last = cmd.sends > kFurther || cmd.sends >= set.maxSends;  // counted after this send
     if (profile.effect == Effect::nonReplayable || last) return 0;
-    double took = cmd.row.took.sum(now), rested = cmd.row.rest.sum(now);
-    double slow = std::max(node.stretch, rested > 0 ? took / rested : 1);
-    double usual = cmd.atRest() * std::clamp(slow, 1.0, 6.0);
+    double usual = cmd.atRest() * std::clamp(node.stretch, 1.0, kRatioCap);
     if (set.cancel) return kTimeoutRuns * usual + 2 * kSweep;  // it frees the node: a bad plan is cut
     if (overload || node.pressed) return 0;                    // it would run on beside its successor
     return std::max({kTimeoutRuns * usual, cmd.targetAt - now - kTimeoutRuns / 2 * usual, 6 * kSweep});
@@ -539,12 +539,14 @@
   // group that may all wait for one load count as one.
   void judge(Node& node) {
     if (node.resting) return;
-    double oks = node.oks.sum(now), nodeFails = node.fails.sum(now), usual = std::clamp(stretch, 1.0, kRatioCap);
+    double oks = node.oks.sum(now), nodeFails = node.fails.sum(now),
+           usual = std::clamp(stretch, 1.0, kRatioCap);
     double otherFails = allFails - nodeFails - node.late, otherOks = allOks - oks;
     std::set<uint64_t> groups;
     allFails -= std::exchange(node.late, 0);
     for (auto& cmd : node.out) {
-      if (now - cmd->sentAt <= kQuiet + kTimeoutRuns * cmd->atRest() * usual || cmd->sentAt < node.wellSince) continue;
+      if (now - cmd->sentAt <= kQuiet + kTimeoutRuns * cmd->atRest() * usual || cmd->sentAt < node.wellSince)
+        continue;
       if (!cmd->profile().yields) ++node.late;
       else if (groups.insert(cmd->tables).second && groups.size() > 1) ++node.late;
     }
@@ -574,7 +576,8 @@
     if (far) press(node);
     if (!node.pressed) return;
     if (far) {  // well below the mark only where latency stays far off, as when disks jam
-      double least = node.stretch > kVeryFar ? 1 - (1 - kMarkLeast) * (1 - sparse) : std::min(1.0, node.limit);
+      double least =
+          node.stretch > kVeryFar ? 1 - (1 - kMarkLeast) * (1 - sparse) : std::min(1.0, node.limit);
       node.limit = std::max(least, node.limit * (node.limit > 1 ? kMarkFall : kMarkEase));
     } else if (now > node.pressedUntil - kPressureHold / 2) node.limit *= 1 + kMarkRise * weight;
     if (now > node.pressedUntil && node.limit > kMarkFree) node.pressed = false;
@@ -635,8 +638,7 @@
     threads = 0, memory = 0;  // what is lost or stands at a node that rests takes no place
     for (auto& [id, node] : nodes)
       for (auto& cmd : node->out)
-        if (!node->resting)
-          threads += cmd->profile().threads, memory += cmd->grant;
+        if (!node->resting) threads += cmd->profile().threads, memory += cmd->grant;
     if (any != pressure) log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
     pressure = any;
     if (overload && now > overloadUntil) overload = false, log("overload over: %zu held", held.size());
@@ -690,15 +692,15 @@
   TimeRing taken{20}, done{3}, doneLong{20}, further{1}, takenInSpan{1};
   double trafficPart = 0;              // our part of all gateways' traffic, by the tenants' quotas
   double usualRun = 0, usualWork = 0;  // means over all commands
-  int threads = 0;     // of our sends everywhere
-  double stretch = 1;  // latency over the best, of all that don't rest
+  int threads = 0;                     // of our sends everywhere
+  double stretch = 1;                  // latency over the best, of all that don't rest
   double memory = 0, usualMemory = 0;
   double weight = 0;  // part of the last answers that are new since the last sweep
   double sparse = 0;  // 1: hardly any of our sends come to one node; 0: enough to see how it is
-  double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
+  double cores = 0, memoryMb = 0, listed = 0;     // of the nodes that are listed and don't rest
   std::deque<std::pair<double, double>> answers;  // latency over the best of the last ones, and at rest
-  double lateTook = 0, lateRest = 0;  // of the last answers and what is overdue
-  double allFails = 0, allOks = 0;  // of all nodes that don't rest
+  double lateTook = 0, lateRest = 0;              // of the last answers and what is overdue
+  double allFails = 0, allOks = 0;                // of all nodes that don't rest
 };
 
 // --- what happens to a command
@@ -729,8 +731,6 @@
   if (ran && ranAt < 0) ranAt = sentAt, ranOn = &was;
   if (key && (what == Outcome::expired || what == Outcome::reset || what == Outcome::cancelled))
     core.keys[*key].quietUntil = core.now + core.set.keyQuiet;
-  if (what == Outcome::expired && !profile().yields)
-    row.took.add(core.now, took), row.rest.add(core.now, atRest());  // at least so long
   bool answered = what == Outcome::answered;
   if (answered) was.oks.add(core.now, 1), was.pause = kFullPause;
   if (what == Outcome::error || (what == Outcome::expired && !profile().yields)) was.fails.add(core.now, 1);
@@ -742,7 +742,8 @@
     core.rest(was, "trial failed", was.trials, core.evidence());
   }
   // What spilled for want of memory tells nothing of the load.
-  bool spilled = bill && bill->memoryMb > (core.set.grants ? grant : kOwnGrant * estimateMb) && estimateMb > 0;
+  bool spilled =
+      bill && bill->memoryMb > (core.set.grants ? grant : kOwnGrant * estimateMb) && estimateMb > 0;
   if (answered) core.learn(*this, took, bill);
   if (answered && !ownTrial && !spilled) {
     double most = std::min(took, kRatioCap * atRest());
