--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,6 +1,5 @@
 // The decisions of elmcleat, all of them. The host opens one gateway (openGateway, at the end), tells it the
 // time and what happens, and calls settle(). Interface: src/policy.h; reasons and sources: docs/design.md.
-//
 // The ordinary path is DESIGN's: nested queues (tenant, then profile), FIFO leaves, round-robin turns paid in
 // work, a start on the least-loaded engine while our threads a core stay under the mark, by chance above it.
 // Beside it stand six mechanisms:
@@ -28,37 +27,29 @@
 namespace {
 
 // --- tuned values (seconds, threads a core, multiples)
-constexpr double kMark = 2, kUnseen = 0.3;             // threads a core, all gateways together
-constexpr double kUseCut = 0.85, kReportFresh = 0.5;   // a fresh report under the cut: under the mark
-constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;  // a loser's wait, for usual work;
-constexpr double kWaitLeast = 0.2, kWaitMost = 3;      // it grows with the work: draws are paid as turns are
-constexpr double kQuantum = 0.05, kCredit = 40;        // work that a turn pays for; most turns put by
-constexpr size_t kAnswers = 20;                        // answers that tell the fleet's latency
-constexpr double kPrior = 3;  // usual runs for which the fleet's latency counts at each node
-constexpr double kFar = 1.6, kPressureHold = 1;  // latency over the best that shows pressure; its hold
-constexpr double kRatioCap = 4;                  // no latency counts as more: a bad plan says little
-constexpr double kMarkFall = 0.8, kMarkRise = 0.25,
-                 kMarkFree = 6;  // how the mark under pressure moves, a sweep;
+constexpr double kMark = 2, kUnseen = 0.3, kEmptyUse = 1.8;  // threads a core; part off where few sends tell
+constexpr double kUseCut = 0.85, kReportFresh = 0.5;         // a fresh report under the cut: under the mark
+constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;        // a loser's wait, for usual work;
+constexpr double kWaitLeast = 0.2, kWaitMost = 3;  // it grows with the work: draws are paid as turns are
+constexpr double kQuantum = 0.05, kCredit = 40;    // work that a turn pays for; most turns put by
+constexpr double kAnswers = 20, kPrior = 3;        // answers for the fleet's latency; its weight at a node
+constexpr double kFar = 1.6, kFarUnseen = 0.3, kPressureHold = 1;  // latency that shows pressure; its hold
+constexpr double kRatioCap = 4;  // no latency counts as more: a bad plan says little
+constexpr double kMarkFall = 0.8, kMarkRise = 0.25, kMarkFree = 6;     // how the mark moves under pressure
 constexpr double kVeryFar = 2.4, kMarkEase = 0.98, kMarkLeast = 0.75;  // and below its value, if very far
-constexpr double kDense = 2;               // sends a second to each node that tell how it is
-constexpr double kLeastPart = 0.125;       // no smaller part of the traffic weighs one thread more
-constexpr double kSpare = 1.3, kOver = 1;  // a node's part of our sends; what sends beyond it weigh
-constexpr double kBand = 0.5;              // how far the first in rank may stand above the least loaded;
-constexpr double kFarZone = 1, kApart = 1,
-                 kLoadSide = 1 / 3.0;  // so too a crossing that is charged, and a load's side of a rank
-constexpr double kSweep = 0.05, kClock = 1e-6;   // time between sweeps; no clock is finer
-constexpr double kMemoryUse = 0.85;              // part of a node's memory to fill
-constexpr double kOwnGrant = 1.25;               // an engine's own grant, over the raw estimate
-constexpr double kGrantSpare = 1.4;              // grant over the corrected estimate
-constexpr double kSafeCapacity = 0.4;            // part of a cold node's cores that surely is its capacity
-constexpr double kRestFirst = 1, kRestLast = 8;  // rest of a failing node, doubled at each relapse
-constexpr double kFullPause = 0.3;               // no sends after a full refusal
-constexpr double kFailSpan = 4, kFailShare = 0.2,
-                 kFailLead = 2;        // failures that blame a node, over the others'
-constexpr double kQuiet = 0.5;         // no command is overdue sooner
-constexpr double kTrials = 3;          // failures that blame a node at most; trials that clear it
-constexpr int kFurther = 2;            // further sends of a command
-constexpr double kBacklog = 0.2;       // part of the held commands' slack that the backlog may need
+constexpr double kDense = 2, kLeastPart = 0.125;  // sends a second that tell how a node is; least part of all
+constexpr double kSpare = 1.3, kOver = 1;         // a node's part of our sends; what sends beyond it weigh
+constexpr double kBand = 0.5;  // how far the first in rank may stand above the least loaded
+constexpr double kFarZone = 1, kApart = 1, kLoadSide = 0.33;  // a crossing; the wrong side of a rank; sides
+constexpr double kSweep = 0.05, kClock = 1e-6;                // time between sweeps; no clock is finer
+constexpr double kMemoryUse = 0.85;                           // part of a node's memory to fill
+constexpr double kOwnGrant = 1.25, kGrantSpare = 1.4;  // grants over estimates, an engine's own and ours
+constexpr double kSafeCapacity = 0.4;                  // of a cold node's cores, surely its capacity
+constexpr double kRestFirst = 1, kRestLast = 8, kFullPause = 0.3;  // rests, doubled at each relapse
+constexpr double kFailSpan = 4, kFailShare = 0.2, kFailLead = 2;   // failures that blame a node
+constexpr double kQuiet = 0.5, kTrials = 3;  // nothing is overdue sooner; failures to blame, trials to clear
+constexpr int kFurther = 2;                  // further sends of a command
+constexpr double kBacklog = 0.2;             // part of the held commands' slack that the backlog may need
 constexpr double kOverloadHold = 0.5;  // overload lasts so long after the last command shed for want of room
 constexpr double kTooLate = 0.8;       // part of the run at rest that must still fit before target or end
 constexpr double kTimeoutRuns = 3;     // a send's time-out, in usual runs
@@ -140,15 +131,13 @@
   bool listed = false;
   std::optional<double> startedAt;
   std::vector<std::shared_ptr<Cmd>> out;
-  int threads = 0;    // of our sends there
-  double memory = 0;  // of our sends there
+  double threads = 0, memory = 0;  // of our sends there
   TimeRing took{1}, rest{1}, fails{kFailSpan}, oks{kFailSpan}, coldWork{1};
   std::vector<double> credit;     // by profile: sends that are due to it as its part of ours
   double stretch = 1, limit = 1;  // latency, over the best; the mark's multiple
   double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
-  int late = 0;  // sends overdue now
   double restUntil = 0, restTime = kRestFirst, pause = kFullPause, wellSince = 0;
-  int trials = 0;
+  int trials = 0, late = 0;  // answered ones; sends overdue now
   bool pressed = false, resting = false, trialOut = false;
 };
 
@@ -207,8 +196,8 @@
   // Threads a core, of all gateways if the others run as many there as we do.
   double load(const Node& node) const { return node.threads / able(node) / std::max(part(), kLeastPart); }
   double able(const Node& node) const {  // cores; of a cold node the part that it surely has by now
-    double age = cold(node) ? (now - *node.startedAt) / set.coldTime : 1;
-    return node.cores * (set.coldFrom + (1 - set.coldFrom) * std::clamp(age, 0.0, 1.0));
+    double age = cold(node) ? std::max(0.0, now - *node.startedAt) / set.coldTime : 1;
+    return node.cores * (set.coldFrom + (1 - set.coldFrom) * age);
   }
   template <typename... Figures>
   void log(const char* format, Figures... figures) {
@@ -230,12 +219,10 @@
     cmd->work = std::max(arrival.work > 0 ? arrival.work * row->workRatio : guess, 1e-4);
     auto drift = [](double& mean, double value) { mean += (value - mean) * (mean > 0 ? kLearn : 1); };
     drift(row->usualWork, cmd->work), drift(usualWork, cmd->work), drift(usualRun, cmd->run());
-    if (profile.load) drift(loadRun, cmd->run());
     cmd->memory = arrival.memoryMb * row->memoryRatio;
     cmd->targetAt = now + profile.target + profile.targetStretch * cmd->run();
     cmd->timeoutAt = now + arrival.timeLeft;
-    taken.add(now, 1);
-    takenInSpan.add(now, 1);
+    taken.add(now, 1), takenInSpan.add(now, 1);
     double due = 1;
     for (auto& tenant : set.tenants)
       if (tenant.name == arrival.tenant) due = std::max(tenant.share * double(set.tenants.size()), 0.01);
@@ -247,11 +234,10 @@
   }
 
   void hold(Cmd& cmd, bool first) {
-    auto& turn = *cmd.leaf;
-    for (Turn* at = &turn; at->parent && !at->holds(); at = at->parent)
+    for (Turn* at = cmd.leaf; at->parent && !at->holds(); at = at->parent)
       at->deficit = at->ownDeficit = 0;  // an empty queue keeps neither debt nor credit
-    if (first) turn.fifo.push_front(cmd.shared_from_this());
-    else turn.fifo.push_back(cmd.shared_from_this());
+    auto& fifo = cmd.leaf->fifo;
+    fifo.insert(first ? fifo.begin() : fifo.end(), cmd.shared_from_this());
     cmd.held = true;
   }
 
@@ -346,8 +332,7 @@
     }
     done.add(now, cmd.work), doneLong.add(now, cmd.work);
     double ratio = took / cmd.run();  // the best: a low quantile of latency over work
-    row.best *= ratio < row.best ? 0.97 : 1.005;
-    row.best = std::clamp(row.best, 0.4, 1.5);
+    row.best = std::clamp(row.best * (ratio < row.best ? 0.97 : 1.005), 0.4, 1.5);
   }
 
   // --- engines
@@ -379,12 +364,13 @@
     if (auto found = nodes.find(id); found != nodes.end()) seeReport(*found->second, report);
   }
 
-  // Part of its place that a node has in use: our threads there, and for the other gateways' as many a core as
-  // we have at all nodes together. With many gateways a mark's part is less than one thread a node.
+  // Part of its place that a node has in use: our threads there, and for the other gateways' as many a core
+  // as we have at all nodes together. With many gateways a mark's part is less than one thread a node.
   double fill(const Node& node, const Cmd& cmd) const {
     double own = cmd.profile().threads / 2.0;
     double others = (threads + own) / std::max(cores, 1.0) * (1 / share() - 1);
-    return ((node.threads + own) / able(node) + others) / (kMark * (1 - kUnseen * sparse) * node.limit);
+    double use = ((node.threads + own) / able(node) + others) / (kMark * (1 - kUnseen * sparse) * node.limit);
+    return threads > 0 ? use : std::min(use, kEmptyUse);  // or a wide command of a small gateway never starts
   }
 
   bool fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
@@ -461,13 +447,9 @@
 
   bool start(Cmd& cmd) {
     Node* node = pick(cmd);
-    if (!node) return false;
-    if (node->pressed && now >= node->idleUntil) {
-      double use = fill(*node, cmd);
-      if (use >= 1 && chance.unit() >= 2 - use) return false;
-    }
-    send(cmd, *node);
-    return true;
+    double use = node && node->pressed && now >= node->idleUntil ? fill(*node, cmd) : 0;
+    if (!node || (use >= 1 && chance.unit() >= 2 - use)) return false;
+    return send(cmd, *node), true;
   }
 
   double timeout(const Cmd& cmd, const Node& node) const {
@@ -475,8 +457,8 @@
     bool last = cmd.sends > kFurther || cmd.sends >= set.maxSends;  // counted after this send
     if (profile.effect == Effect::nonReplayable || last) return 0;
     double usual = cmd.atRest() * std::clamp(node.stretch, 1.0, kRatioCap);
-    if (set.cancel) return kTimeoutRuns * usual + 2 * kSweep;  // it frees the node: a bad plan is cut
-    if (overload || node.pressed) return 0;                    // it would run on beside its successor
+    if (set.cancel) return kTimeoutRuns * usual + 2 * kSweep;   // it frees the node: a bad plan is cut
+    if ((overload || node.pressed) && !node.resting) return 0;  // it would run on beside its successor
     return std::max({kTimeoutRuns * usual, cmd.targetAt - now - kTimeoutRuns / 2 * usual, 6 * kSweep});
   }
 
@@ -528,10 +510,6 @@
     log("node %u is back: %d trials answered", node.id, node.trials);
   }
 
-  bool isOverdue(const Cmd& cmd, double usual) const {
-    return now - cmd.sentAt > kQuiet + kTimeoutRuns * cmd.atRest() * usual;
-  }
-
   // Failures that blame a node, and trials that clear it: fewer where few sends come to one node.
   double evidence() const { return std::clamp((allOks + allFails) / std::max(1.0, listed), 1.0, kTrials); }
 
@@ -547,8 +525,7 @@
     for (auto& cmd : node.out) {
       if (now - cmd->sentAt <= kQuiet + kTimeoutRuns * cmd->atRest() * usual || cmd->sentAt < node.wellSince)
         continue;
-      if (!cmd->profile().yields) ++node.late;
-      else if (groups.insert(cmd->tables).second && groups.size() > 1) ++node.late;
+      if (!cmd->profile().yields || (groups.insert(cmd->tables).second && groups.size() > 1)) ++node.late;
     }
     allFails += node.late;
     double fails = nodeFails + node.late, share = fails / std::max(fails + oks, 1.0);
@@ -572,7 +549,7 @@
     }
     double prior = kPrior * usualRun;  // few answers of one node say little: the fleet's stand beside them
     node.stretch = atRest + prior > 0 ? (took + prior * stretch) / (atRest + prior) : 1;
-    bool far = node.stretch > kFar - 0.3 * sparse && !node.resting;
+    bool far = node.stretch > kFar - kFarUnseen * sparse && !node.resting;
     if (far) press(node);
     if (!node.pressed) return;
     if (far) {  // well below the mark only where latency stays far off, as when disks jam
@@ -583,9 +560,9 @@
     if (now > node.pressedUntil && node.limit > kMarkFree) node.pressed = false;
   }
 
-  // Shedding: ends what can't be in time any more and, while the backlog needs more than a part of the slack
-  // that the held commands still have, what is worth least for its work. Meets bursts of all or of a tenant,
-  // costly commands, lost or slowed engines and retries alike; hurts where estimates of work are badly off.
+  // Shedding: ends what can't be in time and, while the backlog needs more than a part of the slack that the
+  // held commands have, what is worth least for its work. Meets bursts, costly commands, lost or slowed engines
+  // and retries alike; hurts where estimates of work are badly off.
   void shedHeld() {
     for (auto& cmd : held)
       if (!cmd->over && !cmd->node && hopeless(*cmd)) end(*cmd);
@@ -601,9 +578,8 @@
     double rate = std::max((done.sum(now) + prior) / (3 + prior / ours), 0.25 * ours);
     double room = rate * kBacklog * slack / worth;
     if (backlog <= room || !pressure) return;
-    auto density = [&](auto& cmd) { return worthNow(*cmd) / cmd->work; };
     auto waiting = held;
-    std::ranges::stable_sort(waiting, {}, density);
+    std::ranges::stable_sort(waiting, {}, [&](auto& cmd) { return worthNow(*cmd) / cmd->work; });
     if (!overload) log("overload: %.1f s of work held, room for %.1f", backlog, room);
     overload = true, overloadUntil = now + kOverloadHold;
     waiting.pop_back();
@@ -630,15 +606,15 @@
     for (auto& [ratio, rest] : answers) lateTook += ratio * rest, lateRest += rest;
     if (lateRest > 0) stretch = lateTook / lateRest;
     double span = std::clamp(now - openedAt, 5.0, 20.0);
-    weight = std::min(1.0, kSweep * taken.sum(now) / span / double(kAnswers));
     if (quotas > 0 && usualWork > 0) trafficPart = doneLong.sum(now) / span / quotas / usualWork;
+    weight = std::min(1.0, kSweep * taken.sum(now) / span / kAnswers);
     usualMemory += weight * (memory - usualMemory);
     sparse = std::clamp(1 - (allOks + allFails) / kFailSpan / std::max(1.0, listed) / kDense, 0.0, 1.0);
-    for (auto& [id, node] : nodes) judge(*node);
-    threads = 0, memory = 0;  // what is lost or stands at a node that rests takes no place
-    for (auto& [id, node] : nodes)
-      for (auto& cmd : node->out)
-        if (!node->resting) threads += cmd->profile().threads, memory += cmd->grant;
+    threads = memory = 0;  // what stands at a node that rests takes no place
+    for (auto& [id, node] : nodes) {
+      judge(*node);
+      if (!node->resting) threads += node->threads, memory += node->memory;
+    }
     if (any != pressure) log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
     pressure = any;
     if (overload && now > overloadUntil) overload = false, log("overload over: %zu held", held.size());
@@ -668,10 +644,7 @@
         turn->wakeAt = now + size * chance.between(kWaitLow, kWaitHigh);
       }
     }
-    bool live = overload || !held.empty() || std::ranges::any_of(nodes, [](auto& it) {
-                  return !it.second->out.empty() || it.second->pressed || it.second->resting;
-                });
-    if (live) wakeAt(std::max(std::min(root.wakes(), nextSweep), now + kClock));
+    wakeAt(std::max(std::min(root.wakes(), nextSweep), now + kClock));
   }
 
   // --- state
@@ -680,27 +653,22 @@
   Outlet& out;
   double now = 0, openedAt = -1, nextSweep = 0, nextWake = -1, overloadUntil = -1, askAt = -1;
   bool overload = false, pressure = false, listSeen = false;
+  bool loadsHold = false;  // some profile stands still while a load holds its group
   std::vector<Row> rows;
-  double quotas = 0;  // of all tenants, commands a second
   std::map<uint32_t, std::unique_ptr<Node>> nodes;
   std::map<uint64_t, KeyLine> keys;
-  double loadRun = 0;      // mean run of a load
-  bool loadsHold = false;  // some profile stands still while a load holds its group
   Turn root;
   std::vector<std::shared_ptr<Cmd>> held;
   size_t fresh = 0;  // from here on, held commands that no sweep has looked at
   TimeRing taken{20}, done{3}, doneLong{20}, further{1}, takenInSpan{1};
-  double trafficPart = 0;              // our part of all gateways' traffic, by the tenants' quotas
-  double usualRun = 0, usualWork = 0;  // means over all commands
-  int threads = 0;                     // of our sends everywhere
-  double stretch = 1;                  // latency over the best, of all that don't rest
-  double memory = 0, usualMemory = 0;
-  double weight = 0;  // part of the last answers that are new since the last sweep
-  double sparse = 0;  // 1: hardly any of our sends come to one node; 0: enough to see how it is
-  double cores = 0, memoryMb = 0, listed = 0;     // of the nodes that are listed and don't rest
-  std::deque<std::pair<double, double>> answers;  // latency over the best of the last ones, and at rest
-  double lateTook = 0, lateRest = 0;              // of the last answers and what is overdue
-  double allFails = 0, allOks = 0;                // of all nodes that don't rest
+  double quotas = 0, trafficPart = 0;          // of all tenants, commands a second; our part of their work
+  double usualRun = 0, usualWork = 0;          // means over all commands
+  double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
+  double threads = 0, memory = 0, usualMemory = 0;              // of our sends there
+  double allFails = 0, allOks = 0, lateTook = 0, lateRest = 0;  // and what became of them
+  double weight = 0, sparse = 0;  // part of the last answers that is new; 1: hardly a send comes to one node
+  double stretch = 1;             // latency over the best,
+  std::deque<std::pair<double, double>> answers;  // and of the last ones, with their latency at rest
 };
 
 // --- what happens to a command
@@ -749,7 +717,7 @@
     double most = std::min(took, kRatioCap * atRest());
     was.took.add(core.now, most), was.rest.add(core.now, atRest());
     core.answers.push_back({most / atRest(), atRest()});
-    if (core.answers.size() > kAnswers) core.answers.pop_front();
+    if (double(core.answers.size()) > kAnswers) core.answers.pop_front();
   }
   core.seeReport(was, report);
   avoid = &was;
