--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -379,7 +379,7 @@
     double use =
         (node.memory + cmd.memory) / node.memoryMb +
         (node.pressed ? memory + cmd.memory : usualMemory) / std::max(memoryMb, 1.0) * (1 / ours - 1);
-    return node.memoryMb <= 0 || node.memory <= 0 || use <= kMemoryUse * (1 - 0.5 * sparse);
+    return node.memoryMb <= 0 || memory <= 0 || use <= kMemoryUse * (1 - kUnseen * sparse);
   }
 
   // Does a load hold the command's group there? Ours do for sure; another gateway's shows in waiters of that
