--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -511,7 +511,9 @@
   }
 
   // Failures that blame a node, and trials that clear it: fewer where few sends come to one node.
-  double evidence() const { return std::clamp((allOks + allFails) / std::max(1.0, listed), 1.0, kTrials); }
+  double evidence() const {
+    return std::clamp((allOks + allFails) / std::max(1.0, listed) / kTrials, 1.0, kTrials);
+  }
 
   // Health: a node is to blame only for what the others don't show at the same time. Overdue commands of one
   // group that may all wait for one load count as one.
