--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -27,6 +27,7 @@
 namespace {
 
 // --- tuned values (seconds, threads a core, multiples)
+constexpr double kReportFades = 3.0, PROBES = 0.5, WLOAD = 1.0;
 constexpr double kMark = 2, kUnseen = 0.3, kEmptyUse = 1.8;  // threads a core; part off where few sends tell
 constexpr double kUseCut = 0.85, kReportFresh = 0.5;         // a fresh report under the cut: under the mark
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;        // a loser's wait, for usual work;
@@ -136,6 +137,7 @@
   std::vector<double> credit;     // by profile: sends that are due to it as its part of ours
   double stretch = 1, limit = 1;  // latency, over the best; the mark's multiple
   double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
+  double others = 0, reportAt = -1e9;  // threads of the other gateways, as reported
   double restUntil = 0, restTime = kRestFirst, pause = kFullPause, wellSince = 0;
   int trials = 0, late = 0;  // answered ones; sends overdue now
   bool pressed = false, resting = false, trialOut = false;
@@ -194,7 +196,10 @@
   double part() const { return std::clamp(trafficPart, share(), 1.0); }  // of all work done, at least
   bool cold(const Node& node) const { return node.startedAt && now < *node.startedAt + set.coldTime; }
   // Threads a core, of all gateways if the others run as many there as we do.
-  double load(const Node& node) const { return node.threads / able(node) / std::max(part(), kLeastPart); }
+  double load(const Node& node) const {
+    double known = node.reportAt > 0 ? others(node, 0) - others(nowhere, 0) : 0;
+    return node.threads / able(node) / std::max(part(), kLeastPart) + WLOAD * known;
+  }
   double able(const Node& node) const {  // cores; of a cold node the part that it surely has by now
     double age = cold(node) ? std::max(0.0, now - *node.startedAt) / set.coldTime : 1;
     return node.cores * (set.coldFrom + (1 - set.coldFrom) * age);
@@ -307,6 +312,8 @@
 
   void seeReport(Node& node, const Report* report) {
     if (!report) return;
+    if (report->inHand && usualRun > 0)
+      node.others = std::max(0.0, *report->inHand * usualWork / usualRun - node.threads), node.reportAt = now;
     if (report->utilisation) {
       if (*report->utilisation < kUseCut) node.idleUntil = now + kReportFresh;
       else press(node);
@@ -364,21 +371,29 @@
     if (auto found = nodes.find(id); found != nodes.end()) seeReport(*found->second, report);
   }
 
+  // Threads a core of the other gateways there: as many as we have at all nodes together, but for what the node
+  // reported of its own, which fades as it ages.
+  double others(const Node& node, double more) const {
+    double mean = (threads + more) / std::max(cores, 1.0) * (1 / share() - 1);
+    return mean + (node.others / able(node) - mean) * std::exp((node.reportAt - now) / kReportFades);
+  }
+
   // Part of its place that a node has in use: our threads there, and for the other gateways' as many a core
   // as we have at all nodes together. With many gateways a mark's part is less than one thread a node.
   double fill(const Node& node, const Cmd& cmd) const {
     double own = cmd.profile().threads / 2.0;
-    double others = (threads + own) / std::max(cores, 1.0) * (1 / share() - 1);
-    double use = ((node.threads + own) / able(node) + others) / (kMark * (1 - kUnseen * sparse) * node.limit);
+    double use = ((node.threads + own) / able(node) + others(node, own)) / (kMark * (1 - kUnseen * sparse) * node.limit);
     return threads > 0 ? use : std::min(use, kEmptyUse);  // or a wide command of a small gateway never starts
   }
 
   bool fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
+    double mean = threads / std::max(cores, 1.0) * (1 / share() - 1);
+    double MEMF = mean > 0 ? std::max(1.0, others(node, 0) / mean) : 1;
     double ours = std::min(1.0, part() * (node.pressed ? node.limit : 1));
     if (set.shortMemory == ShortMemory::overcommit) ours = share();
     double use =
         (node.memory + cmd.memory) / node.memoryMb +
-        (node.pressed ? memory + cmd.memory : usualMemory) / std::max(memoryMb, 1.0) * (1 / ours - 1);
+        (node.pressed ? memory + cmd.memory : usualMemory) / std::max(memoryMb, 1.0) * (1 / ours - 1) * MEMF;
     return node.memoryMb <= 0 || memory <= 0 || use <= kMemoryUse * (1 - kUnseen * sparse);
   }
 
@@ -617,6 +632,11 @@
       judge(*node);
       if (!node->resting) threads += node->threads, memory += node->memory;
     }
+    for (probes += set.probing * sparse * PROBES * kSweep * taken.sum(now) / span; probes >= 1 && listed > 0; --probes) {
+      auto next = nodes.upper_bound(lastProbed);
+      while (next == nodes.end() || !next->second->listed) next = next == nodes.end() ? nodes.begin() : std::next(next);
+      out.probe(lastProbed = next->first);
+    }
     if (any != pressure) log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
     pressure = any;
     if (overload && now > overloadUntil) overload = false, log("overload over: %zu held", held.size());
@@ -668,6 +688,9 @@
   double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
   double threads = 0, memory = 0, usualMemory = 0;              // of our sends there
   double allFails = 0, allOks = 0, lateTook = 0, lateRest = 0;  // and what became of them
+  double probes = 0;
+  uint32_t lastProbed = 0;
+  Node nowhere;
   double weight = 0, sparse = 0;  // part of the last answers that is new; 1: hardly a send comes to one node
   double stretch = 1;             // latency over the best,
   std::deque<std::pair<double, double>> answers;  // and of the last ones, with their latency at rest
