--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -27,7 +27,7 @@
 namespace {
 
 // --- tuned values (seconds, threads a core, multiples)
-constexpr double kReportFades = 3.0, PROBES = 0.5, WLOAD = 1.0;
+constexpr double kReportFades = 3.0, PROBES = 0.25, WLOAD = 1.0;
 constexpr double kMark = 2, kUnseen = 0.3, kEmptyUse = 1.8;  // threads a core; part off where few sends tell
 constexpr double kUseCut = 0.85, kReportFresh = 0.5;         // a fresh report under the cut: under the mark
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;        // a loser's wait, for usual work;
