--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -27,7 +27,6 @@
 namespace {
 
 // --- tuned values (seconds, threads a core, multiples)
-constexpr double kReportFades = 3.0, PROBES = 0.25, WLOAD = 1.0;
 constexpr double kMark = 2, kUnseen = 0.3, kEmptyUse = 1.8;  // threads a core; part off where few sends tell
 constexpr double kUseCut = 0.85, kReportFresh = 0.5;         // a fresh report under the cut: under the mark
 constexpr double kWaitLow = 0.020, kWaitHigh = 0.100;        // a loser's wait, for usual work;
@@ -42,8 +41,9 @@
 constexpr double kSpare = 1.3, kOver = 1;         // a node's part of our sends; what sends beyond it weigh
 constexpr double kBand = 0.5;  // how far the first in rank may stand above the least loaded
 constexpr double kFarZone = 1, kApart = 1, kLoadSide = 0.33;  // a crossing; the wrong side of a rank; sides
-constexpr double kSweep = 0.05, kClock = 1e-6;                // time between sweeps; no clock is finer
-constexpr double kMemoryUse = 0.85;                           // part of a node's memory to fill
+constexpr double kReportFades = 3;              // in so long a report fades, and each node is asked once
+constexpr double kSweep = 0.05, kClock = 1e-6;  // time between sweeps; no clock is finer
+constexpr double kMemoryUse = 0.85;             // part of a node's memory to fill
 constexpr double kOwnGrant = 1.25, kGrantSpare = 1.4;  // grants over estimates, an engine's own and ours
 constexpr double kSafeCapacity = 0.4;                  // of a cold node's cores, surely its capacity
 constexpr double kRestFirst = 1, kRestLast = 8, kFullPause = 0.3;  // rests, doubled at each relapse
@@ -137,7 +137,7 @@
   std::vector<double> credit;     // by profile: sends that are due to it as its part of ours
   double stretch = 1, limit = 1;  // latency, over the best; the mark's multiple
   double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
-  double others = 0, reportAt = -1e9;  // threads of the other gateways, as reported
+  double others = 0, reportedAt = -HUGE_VAL;  // threads of the other gateways there, by its last report
   double restUntil = 0, restTime = kRestFirst, pause = kFullPause, wellSince = 0;
   int trials = 0, late = 0;  // answered ones; sends overdue now
   bool pressed = false, resting = false, trialOut = false;
@@ -195,10 +195,9 @@
   double share() const { return 1.0 / std::max(1, set.gateways); }
   double part() const { return std::clamp(trafficPart, share(), 1.0); }  // of all work done, at least
   bool cold(const Node& node) const { return node.startedAt && now < *node.startedAt + set.coldTime; }
-  // Threads a core, of all gateways if the others run as many there as we do.
+  // Threads a core, of all gateways if the others run as many there as we do, or as it reported.
   double load(const Node& node) const {
-    double known = node.reportAt > 0 ? others(node, 0) - others(nowhere, 0) : 0;
-    return node.threads / able(node) / std::max(part(), kLeastPart) + WLOAD * known;
+    return node.threads / able(node) / std::max(part(), kLeastPart) + others(node) - usualOthers();
   }
   double able(const Node& node) const {  // cores; of a cold node the part that it surely has by now
     double age = cold(node) ? std::max(0.0, now - *node.startedAt) / set.coldTime : 1;
@@ -312,8 +311,9 @@
 
   void seeReport(Node& node, const Report* report) {
     if (!report) return;
-    if (report->inHand && usualRun > 0)
-      node.others = std::max(0.0, *report->inHand * usualWork / usualRun - node.threads), node.reportAt = now;
+    if (report->inHand && usualRun > 0)  // in threads, by the usual work of a command over its run
+      node.others = std::max(0.0, *report->inHand * usualWork / usualRun - node.threads),
+      node.reportedAt = now;
     if (report->utilisation) {
       if (*report->utilisation < kUseCut) node.idleUntil = now + kReportFresh;
       else press(node);
@@ -371,29 +371,28 @@
     if (auto found = nodes.find(id); found != nodes.end()) seeReport(*found->second, report);
   }
 
-  // Threads a core of the other gateways there: as many as we have at all nodes together, but for what the node
-  // reported of its own, which fades as it ages.
-  double others(const Node& node, double more) const {
-    double mean = (threads + more) / std::max(cores, 1.0) * (1 / share() - 1);
-    return mean + (node.others / able(node) - mean) * std::exp((node.reportAt - now) / kReportFades);
+  double usualOthers() const { return threads / std::max(cores, 1.0) * (1 / share() - 1); }
+  // Threads a core of the other gateways there: as many as ours at all nodes together, since with many gateways
+  // a mark's part is less than one thread a node; but for what the node reported, which fades with time.
+  double others(const Node& node) const {
+    double usual = usualOthers(), fade = std::exp((node.reportedAt - now) / kReportFades);
+    return usual + (node.others / able(node) - usual) * fade;
   }
 
-  // Part of its place that a node has in use: our threads there, and for the other gateways' as many a core
-  // as we have at all nodes together. With many gateways a mark's part is less than one thread a node.
-  double fill(const Node& node, const Cmd& cmd) const {
-    double own = cmd.profile().threads / 2.0;
-    double use = ((node.threads + own) / able(node) + others(node, own)) / (kMark * (1 - kUnseen * sparse) * node.limit);
+  double fill(const Node& node, const Cmd& cmd) const {  // part of its place that a node has in use
+    double half = cmd.profile().threads / 2.0;
+    double use = (node.threads + half) / able(node) + others(node) + half / std::max(cores, 1.0) / share();
+    use /= kMark * (1 - kUnseen * sparse) * node.limit;
     return threads > 0 ? use : std::min(use, kEmptyUse);  // or a wide command of a small gateway never starts
   }
 
   bool fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
-    double mean = threads / std::max(cores, 1.0) * (1 / share() - 1);
-    double MEMF = mean > 0 ? std::max(1.0, others(node, 0) / mean) : 1;
     double ours = std::min(1.0, part() * (node.pressed ? node.limit : 1));
     if (set.shortMemory == ShortMemory::overcommit) ours = share();
-    double use =
-        (node.memory + cmd.memory) / node.memoryMb +
-        (node.pressed ? memory + cmd.memory : usualMemory) / std::max(memoryMb, 1.0) * (1 / ours - 1) * MEMF;
+    double theirs =
+        (node.pressed ? memory + cmd.memory : usualMemory) / std::max(memoryMb, 1.0) * (1 / ours - 1);
+    if (usualOthers() > 0) theirs *= std::max(1.0, others(node) / usualOthers());
+    double use = (node.memory + cmd.memory) / node.memoryMb + theirs;
     return node.memoryMb <= 0 || memory <= 0 || use <= kMemoryUse * (1 - kUnseen * sparse);
   }
 
@@ -627,16 +626,19 @@
     weight = std::min(1.0, kSweep * taken.sum(now) / span / kAnswers);
     usualMemory += weight * (memory - usualMemory);
     sparse = std::clamp(1 - (allOks + allFails) / kFailSpan / std::max(1.0, listed) / kDense, 0.0, 1.0);
+    // Where few sends tell how a node is, it is asked: each once in a while, one probe a command at most.
+    double asked = set.probing ? sparse * kSweep * std::min(listed / kReportFades, taken.sum(now) / span) : 0;
+    for (probes += asked; probes >= 1; --probes) {
+      auto next = nodes.upper_bound(lastProbed);
+      if (next == nodes.end()) next = nodes.begin();
+      lastProbed = next->first;
+      if (next->second->listed) out.probe(lastProbed);
+    }
     threads = memory = 0;  // what stands at a node that rests takes no place
     for (auto& [id, node] : nodes) {
       judge(*node);
       if (!node->resting) threads += node->threads, memory += node->memory;
     }
-    for (probes += set.probing * sparse * PROBES * kSweep * taken.sum(now) / span; probes >= 1 && listed > 0; --probes) {
-      auto next = nodes.upper_bound(lastProbed);
-      while (next == nodes.end() || !next->second->listed) next = next == nodes.end() ? nodes.begin() : std::next(next);
-      out.probe(lastProbed = next->first);
-    }
     if (any != pressure) log("pressure %s: latency %.1f times the best", any ? "shown" : "over", worst);
     pressure = any;
     if (overload && now > overloadUntil) overload = false, log("overload over: %zu held", held.size());
@@ -688,9 +690,8 @@
   double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
   double threads = 0, memory = 0, usualMemory = 0;              // of our sends there
   double allFails = 0, allOks = 0, lateTook = 0, lateRest = 0;  // and what became of them
-  double probes = 0;
+  double probes = 0;                                            // due
   uint32_t lastProbed = 0;
-  Node nowhere;
   double weight = 0, sparse = 0;  // part of the last answers that is new; 1: hardly a send comes to one node
   double stretch = 1;             // latency over the best,
   std::deque<std::pair<double, double>> answers;  // and of the last ones, with their latency at rest
