--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -6,8 +6,8 @@
 //   1. health       nodes that fail or fall silent while others answer rest, and come back by trials
 //   2. cold start   a node that has just started gets no more work than our part of its budget
 //   3. shedding     what can't be in time, or is worth least for its work, ends early under overload
-//   4. estimates    corrected by bills and latencies; time-outs follow from them
-//   5. grants       memory and priority by estimate; no start where memory would run out
+//   4. estimates    corrected by bills and latencies: grants, priorities and time-outs follow; memory is a bound
+//   5. the others   many gateways: their part by our sends to the whole fleet, by reports, by a node's credit
 //   6. held groups  who would wait for a load on its group of tables keeps off that load's node
 #include "policy.h"
 
@@ -35,26 +35,24 @@
 constexpr double kAnswers = 20, kPrior = 3;        // answers for the fleet's latency; its weight at a node
 constexpr double kFar = 1.6, kFarUnseen = 0.3, kPressureHold = 1;  // latency that shows pressure; its hold
 constexpr double kRatioCap = 4;  // no latency counts as more: a bad plan says little
-constexpr double kMarkFall = 0.8, kMarkRise = 0.25, kMarkFree = 6;     // how the mark moves under pressure
-constexpr double kVeryFar = 2.4, kMarkEase = 0.98, kMarkLeast = 0.75;  // and below its value, if very far
+constexpr double kMarkFall = 0.8, kMarkRise = 0.25, kMarkFree = 6;  // how the mark moves under pressure
+constexpr double kVeryFar = 2.4, kMarkLeast = 0.75;                 // and below its value, if very far
 constexpr double kDense = 2, kLeastPart = 0.125;  // sends a second that tell how a node is; least part of all
 constexpr double kSpare = 1.3, kOver = 1;         // a node's part of our sends; what sends beyond it weigh
 constexpr double kBand = 0.5;  // how far the first in rank may stand above the least loaded
 constexpr double kFarZone = 1, kApart = 1, kLoadSide = 0.33;  // a crossing; the wrong side of a rank; sides
 constexpr double kReportFades = 3;              // in so long a report fades, and each node is asked once
 constexpr double kSweep = 0.05, kClock = 1e-6;  // time between sweeps; no clock is finer
-constexpr double kMemoryUse = 0.85;             // part of a node's memory to fill
-constexpr double kOwnGrant = 1.25, kGrantSpare = 1.4;  // grants over estimates, an engine's own and ours
-constexpr double kSafeCapacity = 0.4;                  // of a cold node's cores, surely its capacity
+constexpr double kMemoryUse = 0.85,
+                 kGrantSpare = 1.4;    // part of a node's memory to fill; grants over estimates
+constexpr double kSafeCapacity = 0.4;  // of a cold node's cores, surely its capacity
 constexpr double kRestFirst = 1, kRestLast = 8, kFullPause = 0.3;  // rests, doubled at each relapse
 constexpr double kFailSpan = 4, kFailShare = 0.2, kFailLead = 2;   // failures that blame a node
 constexpr double kQuiet = 0.5, kTrials = 3;  // nothing is overdue sooner; failures to blame, trials to clear
-constexpr int kFurther = 2;                  // further sends of a command
-constexpr double kBacklog = 0.2;             // part of the held commands' slack that the backlog may need
-constexpr double kOverloadHold = 0.5;  // overload lasts so long after the last command shed for want of room
-constexpr double kTooLate = 0.8;       // part of the run at rest that must still fit before target or end
-constexpr double kTimeoutRuns = 3;     // a send's time-out, in usual runs
-constexpr double kLearn = 0.02;        // weight of one more command in a mean
+constexpr double kFurther = 2, kTimeoutRuns = 3;  // further sends of a command; a time-out, in usual runs
+constexpr double kBacklog = 0.2, kOverloadHold = 0.5;  // part of the slack for the backlog; overload lasts on
+constexpr double kTooLate = 0.8;  // part of the run at rest that must still fit before target or end
+constexpr double kLearn = 0.02;   // weight of one more command in a mean
 
 // --- types
 struct Core;
@@ -75,11 +73,7 @@
   size_t cursor = 0;
   std::deque<std::shared_ptr<Cmd>> fifo;
 
-  bool ownAwake(double now) const { return !fifo.empty() && wakeAt <= now; }
-  bool awake(double now) const { return wakes() <= now; }
-  bool holds() const {
-    return !fifo.empty() || std::ranges::any_of(children, [](auto& c) { return c->holds(); });
-  }
+  bool holds() const { return wakes() < HUGE_VAL; }
   double wakes() const {  // when the next leaf that holds something draws
     double at = fifo.empty() ? HUGE_VAL : wakeAt;
     for (auto& c : children) at = std::min(at, c->wakes());
@@ -88,8 +82,7 @@
   Turn& child(const std::string& who, double share) {
     for (auto& c : children)
       if (c->name == who) return *c;
-    children.push_back(std::make_unique<Turn>());
-    Turn& made = *children.back();
+    Turn& made = *children.emplace_back(std::make_unique<Turn>());
     made.parent = this, made.name = who, made.weight = share;
     return made;
   }
@@ -98,7 +91,9 @@
   Turn* next(double now) {
     size_t slots = children.size() + 1;
     auto child = [&](size_t i) { return i < children.size() ? children[i].get() : nullptr; };
-    auto live = [&](size_t i) { return child(i) ? child(i)->awake(now) : ownAwake(now); };
+    auto live = [&](size_t i) {
+      return (child(i) ? child(i)->wakes() : fifo.empty() ? HUGE_VAL : wakeAt) <= now;
+    };
     auto credit = [&](size_t i) -> double& { return child(i) ? child(i)->deficit : ownDeficit; };
     auto quantum = [&](size_t i) { return kQuantum * (child(i) ? child(i)->weight : 1.0); };
     for (int pass = 0; pass < 2; ++pass) {
@@ -203,8 +198,7 @@
     double age = cold(node) ? std::max(0.0, now - *node.startedAt) / set.coldTime : 1;
     return node.cores * (set.coldFrom + (1 - set.coldFrom) * age);
   }
-  template <typename... Figures>
-  void log(const char* format, Figures... figures) {
+  void log(const char* format, auto... figures) {
     char line[160];
     std::snprintf(line, sizeof line, format, figures...);
     out.log(line);
@@ -314,11 +308,9 @@
     if (report->inHand && usualRun > 0)  // in threads, by the usual work of a command over its run
       node.others = std::max(0.0, *report->inHand * usualWork / usualRun - node.threads),
       node.reportedAt = now;
-    if (report->utilisation) {
-      if (*report->utilisation < kUseCut) node.idleUntil = now + kReportFresh;
-      else press(node);
-    }
-    if (report->waiting.value_or(0) > 0.5 || report->disksBusy.value_or(0) > 0.97) press(node);
+    if (report->utilisation.value_or(1) < kUseCut) node.idleUntil = now + kReportFresh;
+    bool busy = report->utilisation.value_or(0) >= kUseCut || report->disksBusy.value_or(0) > 0.97;
+    if (busy || report->waiting.value_or(0) > 0.5) press(node);
   }
 
   void press(Node& node) {
@@ -372,8 +364,8 @@
   }
 
   double usualOthers() const { return threads / std::max(cores, 1.0) * (1 / share() - 1); }
-  // Threads a core of the other gateways there: as many as ours at all nodes together, since with many gateways
-  // a mark's part is less than one thread a node; but for what the node reported, which fades with time.
+  // Threads a core of the other gateways there: as many as ours at all nodes together (a mark's part may be
+  // less than one thread a node), but for what the node reported, which fades.
   double others(const Node& node) const {
     double usual = usualOthers(), fade = std::exp((node.reportedAt - now) / kReportFades);
     return usual + (node.others / able(node) - usual) * fade;
@@ -389,24 +381,16 @@
   bool fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
     double ours = std::min(1.0, part() * (node.pressed ? node.limit : 1));
     if (set.shortMemory == ShortMemory::overcommit) ours = share();
-    double theirs =
-        (node.pressed ? memory + cmd.memory : usualMemory) / std::max(memoryMb, 1.0) * (1 / ours - 1);
+    double theirs = (memory + cmd.memory) / std::max(memoryMb, 1.0) * (1 / ours - 1);
     if (usualOthers() > 0) theirs *= std::max(1.0, others(node) / usualOthers());
     double use = (node.memory + cmd.memory) / node.memoryMb + theirs;
     return node.memoryMb <= 0 || memory <= 0 || use <= kMemoryUse * (1 - kUnseen * sparse);
   }
 
-  // Does a load hold the command's group there? Ours do for sure; another gateway's shows in waiters of that
-  // group that are overdue.
-  bool holdsGroup(const Node& node, const Cmd& cmd) const {
-    if (!cmd.profile().yields && !cmd.profile().load) return false;
-    for (auto& other : node.out) {
-      if (other->tables != cmd.tables) continue;
-      if (other->profile().load) return true;
-      if (other->profile().yields && now - other->sentAt > 0.05 + 2 * other->atRest() * node.stretch)
-        return true;
-    }
-    return false;
+  bool holdsGroup(const Node& node, const Cmd& cmd) const {  // does a load of ours hold its group there?
+    return (cmd.profile().yields || cmd.profile().load) && std::ranges::any_of(node.out, [&](auto& other) {
+             return other->tables == cmd.tables && other->profile().load;
+           });
   }
 
   bool allowed(Node& node, const Cmd& cmd) {
@@ -504,11 +488,6 @@
     out.send(cmd, node.id, wait > 0 && now + wait < cmd.timeoutAt ? wait : 0);
   }
 
-  void pause(Node& node) {  // the more gateways come back at once, the longer it must be: it doubles
-    node.fullUntil = now + node.pause * chance.between(0.5, 1.5);
-    node.pause = std::min(2 * node.pause, kRestLast);
-  }
-
   // --- sweeps
   void rest(Node& node, const char* why, double figure, double other) {
     if (!node.resting) log("node %u rests: %s (%.2f against %.2f)", node.id, why, figure, other);
@@ -524,7 +503,7 @@
     log("node %u is back: %d trials answered", node.id, node.trials);
   }
 
-  // Failures that blame a node, and trials that clear it: fewer where few sends come to one node.
+  // Failures that blame a node, trials that clear it: fewer where few sends come to one node.
   double evidence() const {
     return std::clamp((allOks + allFails) / std::max(1.0, listed) / kTrials, 1.0, kTrials);
   }
@@ -569,16 +548,14 @@
     if (far) press(node);
     if (!node.pressed) return;
     if (far) {  // well below the mark only where latency stays far off, as when disks jam
-      double least =
-          node.stretch > kVeryFar ? 1 - (1 - kMarkLeast) * (1 - sparse) : std::min(1.0, node.limit);
-      node.limit = std::max(least, node.limit * (node.limit > 1 ? kMarkFall : kMarkEase));
+      double least = node.stretch > kVeryFar ? kMarkLeast + (1 - kMarkLeast) * sparse : 1;
+      node.limit = std::max(std::min(least, node.limit), node.limit * kMarkFall);
     } else if (now > node.pressedUntil - kPressureHold / 2) node.limit *= 1 + kMarkRise * weight;
     if (now > node.pressedUntil && node.limit > kMarkFree) node.pressed = false;
   }
 
-  // Shedding: ends what can't be in time and, while the backlog needs more than a part of the slack that the
-  // held commands have, what is worth least for its work. Meets bursts, costly commands, lost or slowed engines
-  // and retries alike; hurts where estimates of work are badly off.
+  // Ends what can't be in time and, while the backlog needs more than a part of the slack of all held, what is
+  // worth least for its work: bursts, costly commands, lost engines, retries. Hurts where estimates are off.
   void shedHeld() {
     for (auto& cmd : held)
       if (!cmd->over && !cmd->node && hopeless(*cmd)) end(*cmd);
@@ -618,17 +595,15 @@
       if (node->resting) continue;
       allFails += node->fails.sum(now) + node->late, allOks += node->oks.sum(now);
     }
-    stretch = 1;
     for (auto& [ratio, rest] : answers) lateTook += ratio * rest, lateRest += rest;
-    if (lateRest > 0) stretch = lateTook / lateRest;
+    stretch = lateRest > 0 ? lateTook / lateRest : 1;
     double span = std::clamp(now - openedAt, 5.0, 20.0);
     if (quotas > 0 && usualWork > 0) trafficPart = doneLong.sum(now) / span / quotas / usualWork;
     weight = std::min(1.0, kSweep * taken.sum(now) / span / kAnswers);
-    usualMemory += weight * (memory - usualMemory);
     sparse = std::clamp(1 - (allOks + allFails) / kFailSpan / std::max(1.0, listed) / kDense, 0.0, 1.0);
     // Where few sends tell how a node is, it is asked: each once in a while, one probe a command at most.
-    double asked = set.probing ? sparse * kSweep * std::min(listed / kReportFades, taken.sum(now) / span) : 0;
-    for (probes += asked; probes >= 1; --probes) {
+    if (set.probing && sparse > 0) probes += kSweep * std::min(listed / kReportFades, taken.sum(now) / span);
+    for (; probes >= 1; --probes) {
       auto next = nodes.upper_bound(lastProbed);
       if (next == nodes.end()) next = nodes.begin();
       lastProbed = next->first;
@@ -688,7 +663,7 @@
   double quotas = 0, trafficPart = 0;          // of all tenants, commands a second; our part of their work
   double usualRun = 0, usualWork = 0;          // means over all commands
   double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
-  double threads = 0, memory = 0, usualMemory = 0;              // of our sends there
+  double threads = 0, memory = 0;              // of our sends there
   double allFails = 0, allOks = 0, lateTook = 0, lateRest = 0;  // and what became of them
   double probes = 0;                                            // due
   uint32_t lastProbed = 0;
@@ -699,8 +674,7 @@
 
 // --- what happens to a command
 void Cmd::note(Topic topic, double) {
-  if (!node) return;
-  if (topic == Topic::waits && !over) core.press(*node);
+  if (node && topic == Topic::waits && !over) core.press(*node);
 }
 
 void Cmd::withdrawn() {
@@ -729,17 +703,17 @@
   if (answered) was.oks.add(core.now, 1), was.pause = kFullPause;
   if (what == Outcome::error || (what == Outcome::expired && !profile().yields)) was.fails.add(core.now, 1);
   if (what == Outcome::connectFailed || what == Outcome::reset) was.fails.add(core.now, 2);
-  if (what == Outcome::full) core.press(was), core.pause(was);  // else it draws all
+  if (what == Outcome::full) {  // the more gateways come back at once, the longer it must be: it doubles
+    core.press(was), was.fullUntil = core.now + was.pause * core.chance.between(0.5, 1.5);
+    was.pause = std::min(2 * was.pause, kRestLast);
+  }
   if (ownTrial && was.resting && answered && ++was.trials >= core.evidence()) {
     core.well(was);
   } else if (ownTrial && was.resting && !answered && what != Outcome::full && what != Outcome::unused) {
     core.rest(was, "trial failed", was.trials, core.evidence());
   }
-  // What spilled for want of memory tells nothing of the load.
-  bool spilled =
-      bill && bill->memoryMb > (core.set.grants ? grant : kOwnGrant * estimateMb) && estimateMb > 0;
   if (answered) core.learn(*this, took, bill);
-  if (answered && !ownTrial && !spilled) {
+  if (answered && !ownTrial) {
     double most = std::min(took, kRatioCap * atRest());
     was.took.add(core.now, most), was.rest.add(core.now, atRest());
     core.answers.push_back({most / atRest(), atRest()});
