--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -6,7 +6,7 @@
 //   1. health       nodes that fail or fall silent while others answer rest, and come back by trials
 //   2. cold start   a node that has just started gets no more work than our part of its budget
 //   3. shedding     what can't be in time, or is worth least for its work, ends early under overload
-//   4. estimates    corrected by bills and latencies: grants, priorities and time-outs follow; memory is a bound
+//   4. estimates    corrected by bills and latencies; grants, priorities, time-outs follow; memory is a bound
 //   5. the others   many gateways: their part by our sends to the whole fleet, by reports, by a node's credit
 //   6. held groups  who would wait for a load on its group of tables keeps off that load's node
 #include "policy.h"
@@ -554,7 +554,7 @@
     if (now > node.pressedUntil && node.limit > kMarkFree) node.pressed = false;
   }
 
-  // Ends what can't be in time and, while the backlog needs more than a part of the slack of all held, what is
+  // Ends what can't be in time and, while the backlog needs more than a part of all slack held, what is
   // worth least for its work: bursts, costly commands, lost engines, retries. Hurts where estimates are off.
   void shedHeld() {
     for (auto& cmd : held)
