--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -41,18 +41,15 @@
 constexpr double kSpare = 1.3, kOver = 1;         // a node's part of our sends; what sends beyond it weigh
 constexpr double kBand = 0.5;  // how far the first in rank may stand above the least loaded
 constexpr double kFarZone = 1, kApart = 1, kLoadSide = 0.33;  // a crossing; the wrong side of a rank; sides
-constexpr double kReportFades = 3;              // in so long a report fades, and each node is asked once
-constexpr double kSweep = 0.05, kClock = 1e-6;  // time between sweeps; no clock is finer
-constexpr double kMemoryUse = 0.85,
-                 kGrantSpare = 1.4;    // part of a node's memory to fill; grants over estimates
-constexpr double kSafeCapacity = 0.4;  // of a cold node's cores, surely its capacity
+constexpr double kReportFades = 3, kSweep = 0.05, kClock = 1e-6;  // and each node is probed as often; clocks
+constexpr double kMemoryUse = 0.85, kOwnGrant = 1.25, kGrantSpare = 1.4;  // memory to fill; grants
+constexpr double kSafeCapacity = 0.4, kLearn = 0.02;  // of a cold node's cores; weight of one more in a mean
 constexpr double kRestFirst = 1, kRestLast = 8, kFullPause = 0.3;  // rests, doubled at each relapse
 constexpr double kFailSpan = 4, kFailShare = 0.2, kFailLead = 2;   // failures that blame a node
 constexpr double kQuiet = 0.5, kTrials = 3;  // nothing is overdue sooner; failures to blame, trials to clear
 constexpr double kFurther = 2, kTimeoutRuns = 3;  // further sends of a command; a time-out, in usual runs
 constexpr double kBacklog = 0.2, kOverloadHold = 0.5;  // part of the slack for the backlog; overload lasts on
 constexpr double kTooLate = 0.8;  // part of the run at rest that must still fit before target or end
-constexpr double kLearn = 0.02;   // weight of one more command in a mean
 
 // --- types
 struct Core;
@@ -381,8 +378,8 @@
   bool fits(const Node& node, const Cmd& cmd) const {  // memory runs short in one step: no chance above it
     double ours = std::min(1.0, part() * (node.pressed ? node.limit : 1));
     if (set.shortMemory == ShortMemory::overcommit) ours = share();
-    double theirs = (memory + cmd.memory) / std::max(memoryMb, 1.0) * (1 / ours - 1);
-    if (usualOthers() > 0) theirs *= std::max(1.0, others(node) / usualOthers());
+    double theirs = (node.pressed ? memory + cmd.memory : usualMemory) / std::max(memoryMb, 1.0);
+    theirs *= (1 / ours - 1) * (usualOthers() > 0 ? std::max(1.0, others(node) / usualOthers()) : 1);
     double use = (node.memory + cmd.memory) / node.memoryMb + theirs;
     return node.memoryMb <= 0 || memory <= 0 || use <= kMemoryUse * (1 - kUnseen * sparse);
   }
@@ -609,6 +606,7 @@
       lastProbed = next->first;
       if (next->second->listed) out.probe(lastProbed);
     }
+    usualMemory += weight * (memory - usualMemory);
     threads = memory = 0;  // what stands at a node that rests takes no place
     for (auto& [id, node] : nodes) {
       judge(*node);
@@ -663,7 +661,7 @@
   double quotas = 0, trafficPart = 0;          // of all tenants, commands a second; our part of their work
   double usualRun = 0, usualWork = 0;          // means over all commands
   double cores = 0, memoryMb = 0, listed = 0;  // of the nodes that are listed and don't rest
-  double threads = 0, memory = 0;              // of our sends there
+  double threads = 0, memory = 0, usualMemory = 0;              // of our sends there
   double allFails = 0, allOks = 0, lateTook = 0, lateRest = 0;  // and what became of them
   double probes = 0;                                            // due
   uint32_t lastProbed = 0;
@@ -713,7 +711,9 @@
     core.rest(was, "trial failed", was.trials, core.evidence());
   }
   if (answered) core.learn(*this, took, bill);
-  if (answered && !ownTrial) {
+  bool spilled =
+      bill && estimateMb > 0 && bill->memoryMb > (core.set.grants ? grant : kOwnGrant * estimateMb);
+  if (answered && !ownTrial && !spilled) {
     double most = std::min(took, kRatioCap * atRest());
     was.took.add(core.now, most), was.rest.add(core.now, atRest());
     core.answers.push_back({most / atRest(), atRest()});
