--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -300,3 +300,104 @@
   CHECK_GT(started, 5);
   CHECK_LT(started, 30);
 }
+
+// --- one gateway of many: few sends of ours come to each node
+
+TEST_CASE("sends of one group spread over the fleet where few come to a node") {
+  // Hundreds of gateways share a rank, and each saw the first in rank idle: it held five times the mean.
+  auto site = Scene::site();
+  site.gateways = 50;
+  Scene scene(site);
+  scene.nodes({1, 2, 3, 4, 5, 6, 7, 8});
+  for (int i = 0; i < 64; ++i, scene.to(scene.now + 0.25)) {
+    scene.take(numbered("c", i), "quick", 0.1);
+    scene.to(scene.now + 0.1), scene.ends(numbered("c", i), Outcome::answered, 0.1);
+  }
+  for (auto& [node, sends] : scene.sent) CHECK_LE(sends, 12);  // of 64 over eight nodes
+}
+
+TEST_CASE("memory counts over the fleet, what is out now only under pressure") {
+  // Many gateways filled engines two to three times; later, on quiet days, two commands looked like a full fleet.
+  for (bool pressure : {false, true}) {
+    auto site = Scene::site();
+    site.gateways = 20;
+    Scene scene(site);
+    scene.nodes({1, 2, 3, 4, 5, 6, 7, 8, 9, 10});
+    for (int i = 0; pressure && scene.sent.size() < 10; ++i) {
+      scene.take(numbered("p", i), "quick", 0.1, "north", i);
+      scene.commands[numbered("p", i)]->note(Topic::waits, 1);
+    }
+    for (auto& [name, node] : std::exchange(scene.at, {})) scene.ends(name, Outcome::answered, 0.1);
+    scene.sent.clear();
+    for (int i = 0; i < 6; ++i) scene.take(numbered("c", i), "quick", 0.5, "north", i, {}, 0, 2000);
+    int started = 0;
+    for (auto& [node, sends] : scene.sent) started += sends;
+    if (pressure) CHECK_LT(started, 6);
+    else CHECK_EQ(started, 6);
+  }
+}
+
+TEST_CASE("where few sends tell, one failure blames a node and one trial clears it") {
+  // Each gateway paid for its own three failures at a hung node, seconds apart.
+  Scene scene(Scene::site());
+  scene.nodes({1, 2, 3, 4, 5, 6});
+  for (int i = 0; i < 60; ++i, scene.to(scene.now + 0.3)) {
+    scene.take(numbered("c", i), "quick", 0.1, "north", i);
+    bool fails = scene.at[numbered("c", i)] == 2 && scene.now < 106;
+    scene.ends(numbered("c", i), fails ? Outcome::error : Outcome::answered, 0.1, true);
+  }
+  CHECK_NE(scene.trace.str().find("node 2 rests: it fails (1.00 against 0.00)"), std::string::npos);
+  CHECK_NE(scene.trace.str().find("node 2 is back: 1 trials answered"), std::string::npos);
+}
+
+TEST_CASE("pauses after full refusals double until an answer comes") {
+  // Two hundred gateways came back at once every third of a second: a third of all sends were refused.
+  Scene scene(Scene::site());
+  scene.nodes({1});
+  for (int i = 0; i < 100; ++i, scene.to(scene.now + 0.1)) {
+    auto c = numbered("c", i);
+    scene.take(c, "quick", 0.1);
+    if (scene.at.erase(c)) scene.ends(c, Outcome::full, 0.001, true);
+    else scene.commands[c]->withdrawn();
+  }
+  CHECK_GT(scene.sent[1], 3);
+  CHECK_LT(scene.sent[1], 10);
+}
+
+TEST_CASE("the best held command is not shed for room") {
+  // A gateway of many holds one command or two: it shed the last one though only a place was wanting.
+  auto site = Scene::site();
+  site.gateways = 50;
+  Scene scene(site);
+  scene.nodes({1});
+  scene.take("first", "quick", 0.1);
+  scene.ends("first", Outcome::full, 0.001, true);
+  scene.take("small", "dear", 0.5), scene.take("large", "dear", 1.5);
+  scene.to(100.12);
+  CHECK_NE(scene.trace.str().find("shed large"), std::string::npos);
+  CHECK_EQ(scene.trace.str().find("shed small"), std::string::npos);
+}
+
+TEST_CASE("nodes are asked how they are where few sends tell, and where it is allowed") {
+  // With many gateways the others' load is a guess that uneven traffic makes wrong; a report replaces it.
+  for (bool probing : {false, true}) {
+    auto site = Scene::site();
+    site.gateways = 30, site.probing = probing;
+    Scene scene(site);
+    scene.nodes({1, 2, 3, 4});
+    for (int i = 0; i < 60; ++i, scene.to(scene.now + 0.2)) {
+      scene.take(numbered("c", i), "quick", 0.1, "north", i);
+      scene.ends(numbered("c", i), Outcome::answered, 0.1);
+      Report busy, idle;
+      busy.inHand = 40, idle.inHand = 0;
+      if (probing)
+        for (uint32_t node : {1, 2, 3, 4})
+          scene.gateway->probed(node, Outcome::answered, node == 2 ? &busy : &idle);
+    }
+    std::string trace = scene.trace.str();
+    int probes = 0;
+    for (size_t at = 0; (at = trace.find("probe ", at)) != std::string::npos; ++at) ++probes;
+    CHECK_EQ(probes > 8 && probes < 20, probing);
+    CHECK_EQ(scene.sent[2] > 0, !probing);
+  }
+}
