--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -44,7 +44,7 @@
 constexpr double kReportFades = 3, kSweep = 0.05, kClock = 1e-6;  // and each node is probed as often; clocks
 constexpr double kMemoryUse = 0.85, kOwnGrant = 1.25, kGrantSpare = 1.4;  // memory to fill; grants
 constexpr double kSafeCapacity = 0.4, kLearn = 0.02;  // of a cold node's cores; weight of one more in a mean
-constexpr double kRestFirst = 1, kRestLast = 8, kFullPause = 0.3;  // rests, doubled at each relapse
+constexpr double kRestFirst = 1, kRestLast = 8, kFullPause = 1;  // rests, doubled at each relapse
 constexpr double kFailSpan = 4, kFailShare = 0.2, kFailLead = 2;   // failures that blame a node
 constexpr double kQuiet = 0.5, kTrials = 3;  // nothing is overdue sooner; failures to blame, trials to clear
 constexpr double kFurther = 2, kTimeoutRuns = 3;  // further sends of a command; a time-out, in usual runs
