--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,103 @@
+#include "config/config.h"
+
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+
+namespace elmcleat {
+namespace {
+
+template <typename T>
+bool readHex(std::string_view text, T& value) {
+  auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
+  return !text.empty() && fault == std::errc() && end == text.data() + text.size();
+}
+
+Address needAddress(const Section& from, const char* key) {
+  auto address = readAddress(from.need<std::string>(key));
+  if (!address) from.fault(key, "must be an IPv4 address and a port");
+  return *address;
+}
+
+Listing readListing(const Section& host) {
+  Listing one;
+  auto id = host.need<std::string>("host");
+  if (id.size() != 10 || !id.starts_with("s-") || !readHex(std::string_view(id).substr(2), one.row.id))
+    host.fault("host", "must be s- and 8 hex digits");
+  one.row.state = host.word<NodeState>("health", "in_service",
+                                       {{"in_service", NodeState::inService},
+                                        {"terminating", NodeState::draining},
+                                        {"terminated", NodeState::gone}});
+  // What is gone needs no address.
+  if (one.row.state != NodeState::gone || host.has("dial")) one.address = needAddress(host, "dial");
+  one.row.zone = host.get<std::string>("site", "");
+  one.row.kind = host.get<std::string>("class", "");
+  one.row.cell = host.get("block", 0);
+  one.bornMs = host.get<int64_t>("born_ms", 0);
+  return one;
+}
+
+std::vector<ListEvent> readKnown(const Section& known) {
+  std::vector<ListEvent> events;
+  for (auto& result : known.rows("results")) {
+    ListEvent& event = events.emplace_back();
+    event.number = result.need<uint64_t>("seq");
+    const Section fleet = result.part("fleet");
+    event.whole = fleet.get("whole", false);
+    for (auto& host : fleet.rows("hosts")) event.rows.push_back(readListing(host));
+  }
+  // The last number may be that of an event without news of engines.
+  auto last = known.need<uint64_t>("seq");
+  if (events.empty() || events.back().number < last) events.push_back({last, false, {}});
+  return events;
+}
+
+Level readLevel(const Section& file) {
+  const char* level = std::getenv("ELMCLEAT_LOG");
+  return file.word<Level>(
+      "log", level ? level : "info",
+      {{"debug", Level::debug}, {"info", Level::info}, {"warn", Level::warn}, {"error", Level::error}});
+}
+
+}  // namespace
+
+Config readConfig(const Json& json) {
+  if (!json.is_object()) throw std::invalid_argument("the configuration must be an object");
+  const Section file(json);
+  Config config;
+  config.name = file.get<std::string>("name", "");
+  config.listen = needAddress(file, "listen");
+  config.changeLog = needAddress(file, "changelog");
+  if (!readHex(file.need<std::string>("seed"), config.seed)) file.fault("seed", "must be hex digits");
+  config.sockets = file.part("limits").get<size_t>("sockets", 0);
+  if (!file.has("known")) file.fault("known", "is missing");
+  config.known = readKnown(file.part("known"));
+  if (!file.has("settings")) file.fault("settings", "is missing");
+  const Section settings = file.part("settings");
+  config.settings = readSettings(settings);
+  if (config.settings.profiles.empty()) settings.fault("classes", "must name at least one class");
+  config.links = readLinkSettings(settings);
+  config.log = readLevel(file);
+  return config;
+}
+
+Config readConfig() {
+  const char* path = std::getenv("PROXY_CONFIG");
+  if (!path) throw std::invalid_argument("PROXY_CONFIG: is not set");
+  std::ifstream file(path);
+  if (!file) throw std::invalid_argument(std::string("PROXY_CONFIG: can't read ") + path);
+  Json json;
+  try {
+    json = Json::parse(file);
+  } catch (const Json::exception& fault) {
+    throw std::invalid_argument(std::string("PROXY_CONFIG: ") + path + ": " + fault.what());
+  }
+  // The variables hold the same as the file, and win where they are set.
+  if (json.is_object()) {
+    if (const char* name = std::getenv("PROXY_NAME")) json["name"] = name;
+    if (const char* listen = std::getenv("PROXY_LISTEN")) json["listen"] = listen;
+  }
+  return readConfig(json);
+}
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,28 @@
+// All that a dispatcher is told at its start.
+#pragma once
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "config/settings.h"
+#include "protocol/change_log.h"
+#include "runtime/log.h"
+
+namespace elmcleat {
+
+struct Config {
+  std::string name;
+  Address listen, changeLog;
+  uint64_t seed = 0;
+  size_t sockets = 0;            // descriptors that the process may hold; 0: as the system has it
+  std::vector<ListEvent> known;  // the change log's events up to now
+  Settings settings;
+  LinkSettings links;
+  Level log = Level::info;
+};
+
+// From the environment and the file that it names; std::invalid_argument names the faulty key.
+Config readConfig();
+Config readConfig(const Json& file);
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/config/settings.h
@@ -0,0 +1,23 @@
+// The settings of a deployment, as the simulator's first message and the dispatcher's configuration hold them.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "config/section.h"
+#include "policy.h"
+
+namespace elmcleat {
+
+// What the connections need of the settings, beside the module's own.
+struct LinkSettings {
+  std::vector<std::string> zones, kinds;  // as records of the change log number them
+  int sendsPerConnection = 1;
+  double connectTimeout = 0, idle = 0;  // seconds
+  double noteEvery = 0;                 // between notes on a send; 0: there are none
+  bool reports = false;                 // a probe may ask for a load report
+};
+
+Settings readSettings(const Section& config);
+LinkSettings readLinkSettings(const Section& config);
+
+}  // namespace elmcleat
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -9,8 +9,8 @@
 #include <stdexcept>
 #include <unordered_map>
 
+#include "config/settings.h"
 #include "policy.h"
-#include "settings.h"
 
 namespace elmcleat::drill {
 namespace {
@@ -49,16 +49,17 @@
 Rows readRows(const Json& lines) {
   Rows rows;
   for (auto& line : lines) {
+    const Section at(line);
     NodeRow row;
-    row.id = line.at("node").get<uint32_t>();
-    row.zone = field<std::string>(line, "rackZone", "");
-    row.kind = field<std::string>(line, "type", "");
-    row.cell = field(line, "unitGroup", 0);
-    row.state = named<NodeState>(field<std::string>(line, "condition", "in_service"),
-                                 {{"in_service", NodeState::inService},
-                                  {"terminating", NodeState::draining},
-                                  {"terminated", NodeState::gone}});
-    if (double started = seconds(line, "bootTimeUs"); started > 0) row.startedAt = started;
+    row.id = at.need<uint32_t>("node");
+    row.zone = at.get<std::string>("rackZone", "");
+    row.kind = at.get<std::string>("type", "");
+    row.cell = at.get("unitGroup", 0);
+    row.state = at.word<NodeState>("condition", "in_service",
+                                   {{"in_service", NodeState::inService},
+                                    {"terminating", NodeState::draining},
+                                    {"terminated", NodeState::gone}});
+    if (double started = at.seconds("bootTimeUs"); started > 0) row.startedAt = started;
     rows.push_back(std::move(row));
   }
   return rows;
@@ -68,7 +69,8 @@
 class Instance : public Outlet {
  public:
   Instance(int who, const Json& event, double now) : who_(who), now_(now) {
-    gateway_ = openGateway(readSettings(event.at("config")), event.at("initSeed").get<uint64_t>(), *this);
+    gateway_ = openGateway(readSettings(Section(event.at("config"), "config")),
+                           event.at("initSeed").get<uint64_t>(), *this);
   }
 
   void happen(const std::string& kind, const Json& event, const std::map<int, Rows>& pages, double now) {
@@ -151,16 +153,17 @@
 
   void take(const Json& event) {
     sweep();
+    const Section from(event);
     Arrival arrival;
-    arrival.profile = event.at("profile").get<std::string>();
+    arrival.profile = from.need<std::string>("profile");
     if (auto tenant = event.find("billing"); tenant != event.end() && tenant->is_string())
       arrival.tenant = tenant->get<std::string>();
-    arrival.tables = field<uint64_t>(event, "dataGroup", 0);
-    if (auto key = field<std::string>(event, "table", ""); !key.empty()) arrival.key = readHex(key);
-    arrival.work = seconds(event, "costUs");
-    arrival.memoryMb = field(event, "needMb", 0.0);
-    arrival.timeLeft = seconds(event, "expiresInUs");
-    auto rid = event.at("rid").get<std::string>();
+    arrival.tables = from.get<uint64_t>("dataGroup", 0);
+    if (auto key = from.get<std::string>("table", ""); !key.empty()) arrival.key = readHex(key);
+    arrival.work = from.seconds("costUs");
+    arrival.memoryMb = from.get("needMb", 0.0);
+    arrival.timeLeft = from.seconds("expiresInUs");
+    auto rid = from.need<std::string>("rid");
     auto command = gateway_->take(arrival);
     ids_.emplace(command.get(), rid);
     live_[rid].command = std::move(command);
@@ -168,24 +171,26 @@
   void respond(const Json& event) {
     Held* held = find(event);
     if (!held) return;
+    const Section from(event);
     auto report = readReport(event);
     std::optional<Bill> bill;
-    if (auto used = field<int64_t>(event, "usedUp", 0); used > 0)
+    if (auto used = from.get<int64_t>("usedUp", 0); used > 0)
       bill = Bill{static_cast<double>(used / 4096) / 1e3, static_cast<double>(used % 4096) * 4};
-    bool final = field(event, "final", false);
+    bool final = from.get("final", false);
     --held->out;
     held->over |= final;
-    held->command->outcome(readOutcome(event.at("result").get<std::string>()), seconds(event, "timeTakenUs"),
-                           final, bill ? &*bill : nullptr, report ? &*report : nullptr);
+    held->command->outcome(readOutcome(from.need<std::string>("result")), from.seconds("timeTakenUs"), final,
+                           bill ? &*bill : nullptr, report ? &*report : nullptr);
     drop(*held);
   }
   void note(const Json& event) {
     Held* held = find(event);
     if (!held) return;
-    int topic = event.at("topic").get<int>();
+    const Section from(event);
+    int topic = from.need<int>("topic");
     if (topic < 1 || topic > 3) return;
     static constexpr Topic topics[] = {Topic::progress, Topic::spills, Topic::waits};
-    held->command->note(topics[topic - 1], field(event, "level", 0.0));
+    held->command->note(topics[topic - 1], from.get("level", 0.0));
   }
   void withdraw(const Json& event) {
     Held* held = find(event);
--- /dev/null
+++ b/src/runtime/ending.h
@@ -0,0 +1,27 @@
+// Every way in which a connection, or an exchange on it, can end: one value of this type.
+#pragma once
+
+namespace elmcleat {
+
+enum class Ending {
+  none,          // it has not ended
+  refused,       // nobody listens there, or there is no way there
+  connectLate,   // it did not come up in time
+  noDescriptor,  // we are out of descriptors
+  closed,        // closed by the other side
+  reset,         // broken by the other side or by the network
+  garbled,       // what came can't be read
+  overfull,      // more came, or waits to go out, than a buffer may hold
+  idle,          // closed by us with nothing open on it
+  silent,        // closed by us: nothing came for too long
+  replaced,      // closed by us: its engine drains, is gone, or started anew
+  timedOut,      // the exchange alone: its time is up
+};
+constexpr const char* nameOf(Ending ending) {
+  constexpr const char* names[] = {"none",   "refused", "connect timed out", "out of descriptors",
+                                   "closed", "reset",   "garbled",           "overfull",
+                                   "idle",   "silent",  "replaced",          "timed out"};
+  return names[static_cast<int>(ending)];
+}
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/runtime/scheduler.cpp
@@ -0,0 +1,106 @@
+#include "runtime/scheduler.h"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cmath>
+#include <system_error>
+
+namespace elmcleat {
+
+// --- signals
+Signal::~Signal() {
+  if (queued_) scheduler_.ready_.remove(this);
+}
+
+void Signal::raise() {
+  raised_ = true;
+  if (!waiter_ || queued_) return;
+  queued_ = true;
+  scheduler_.ready_.push_back(this);
+}
+
+// --- timers
+void Timer::set(double at) {
+  clear();
+  place_ = scheduler_.timers_.emplace(at, this);
+  set_ = true;
+}
+
+void Timer::clear() {
+  if (std::exchange(set_, false)) scheduler_.timers_.erase(place_);
+}
+
+// --- descriptors
+Descriptor::Descriptor(Scheduler& scheduler, int fd, Signal& signal)
+    : scheduler_(scheduler), fd_(fd), signal_(signal) {
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  event.data.ptr = this;
+  if (::epoll_ctl(scheduler_.epoll_, EPOLL_CTL_ADD, fd_, &event) < 0) {
+    int fault = errno;
+    ::close(fd_);
+    throw std::system_error(fault, std::generic_category(), "epoll_ctl");
+  }
+}
+
+void Descriptor::close() {
+  if (fd_ < 0) return;
+  std::replace(scheduler_.waking_.begin(), scheduler_.waking_.end(), this, static_cast<Descriptor*>(nullptr));
+  ::close(fd_);
+  fd_ = -1;
+}
+
+// --- the loop
+Scheduler::Scheduler(const Clock& clock) : clock_(clock), epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
+  if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+}
+
+Scheduler::~Scheduler() { ::close(epoll_); }
+
+// In the order raised: what arrived first is read first, so commands of one key keep their order.
+void Scheduler::resumeReady() {
+  while (!ready_.empty()) {
+    Signal* signal = ready_.front();
+    ready_.pop_front();
+    signal->queued_ = false;
+    std::exchange(signal->waiter_, nullptr).resume();
+  }
+}
+
+void Scheduler::fireTimers() {
+  double time = now();
+  while (!timers_.empty() && timers_.begin()->first <= time) {
+    Timer* timer = timers_.begin()->second;
+    timer->clear();
+    auto act = timer->act_;  // the call may destroy the timer
+    act();
+  }
+}
+
+void Scheduler::run() {
+  epoll_event events[128];
+  while (!stopped_) {
+    resumeReady();
+    buried_.clear();
+    if (stopped_) return;
+    int wait = -1;
+    if (!ready_.empty()) wait = 0;
+    else if (!timers_.empty()) {
+      double left = timers_.begin()->first - now();
+      wait = static_cast<int>(std::clamp(std::ceil(left * 1e3), 0.0, 1e6));
+    }
+    int count = ::epoll_wait(epoll_, events, 128, wait);
+    if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
+    waking_.clear();
+    for (int i = 0; i < count; ++i) waking_.push_back(static_cast<Descriptor*>(events[i].data.ptr));
+    for (Descriptor* descriptor : waking_)
+      if (descriptor) descriptor->signal_.raise();
+    waking_.clear();
+    fireTimers();
+  }
+}
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/runtime/scheduler.h
@@ -0,0 +1,139 @@
+// The scheduler: one thread, one epoll, timers and coroutines that wait for signals.
+//
+// Who owns a Task owns its coroutine: destroying the Task ends the coroutine where it waits, and all that it
+// waits for is forgotten, since Signal, Timer and Descriptor leave the scheduler in their destructors. A
+// coroutine never destroys itself: its owner hands it to Scheduler::bury(), which lets go of it later.
+#pragma once
+#include <coroutine>
+#include <cstdint>
+#include <deque>
+#include <exception>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "runtime/clock.h"
+
+namespace elmcleat {
+
+class Scheduler;
+
+// A coroutine that starts when told to and is owned by this object.
+class Task {
+ public:
+  struct promise_type {
+    Task get_return_object() { return Task(std::coroutine_handle<promise_type>::from_promise(*this)); }
+    std::suspend_always initial_suspend() noexcept { return {}; }
+    std::suspend_always final_suspend() noexcept { return {}; }
+    void return_void() {}
+    void unhandled_exception() { std::terminate(); }  // each actor catches what its input may cause
+  };
+
+  Task() = default;
+  explicit Task(std::coroutine_handle<promise_type> handle) : handle_(handle) {}
+  Task(Task&& other) noexcept : handle_(std::exchange(other.handle_, nullptr)) {}
+  Task& operator=(Task&& other) noexcept {
+    std::swap(handle_, other.handle_);
+    return *this;
+  }
+  ~Task() {
+    if (handle_) handle_.destroy();
+  }
+  void start() { handle_.resume(); }
+  bool done() const { return !handle_ || handle_.done(); }
+
+ private:
+  std::coroutine_handle<promise_type> handle_;
+};
+
+// What an actor waits for: raised by its mailbox, its sockets and its timers. A signal raised while nobody
+// waits is kept, so that no news is lost between two waits.
+class Signal {
+ public:
+  explicit Signal(Scheduler& scheduler) : scheduler_(scheduler) {}
+  Signal(const Signal&) = delete;
+  Signal& operator=(const Signal&) = delete;
+  ~Signal();
+
+  void raise();
+
+  bool await_ready() { return std::exchange(raised_, false); }
+  void await_suspend(std::coroutine_handle<> waiter) { waiter_ = waiter; }
+  void await_resume() { raised_ = false; }
+
+ private:
+  friend class Scheduler;
+  Scheduler& scheduler_;
+  std::coroutine_handle<> waiter_;
+  bool raised_ = false, queued_ = false;
+};
+
+// Calls a function once, at a time that may be moved or cleared.
+class Timer {
+ public:
+  Timer(Scheduler& scheduler, std::function<void()> act) : scheduler_(scheduler), act_(std::move(act)) {}
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+  ~Timer() { clear(); }
+  void set(double at);
+  void clear();
+
+ private:
+  friend class Scheduler;
+  Scheduler& scheduler_;
+  std::function<void()> act_;
+  std::multimap<double, Timer*>::iterator place_;
+  bool set_ = false;
+};
+
+// An open descriptor, watched edge by edge: its signal is raised whenever it may have become ready.
+class Descriptor {
+ public:
+  Descriptor(Scheduler& scheduler, int fd, Signal& signal);
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  ~Descriptor() { close(); }
+  int fd() const { return fd_; }
+  void close();
+
+ private:
+  friend class Scheduler;
+  Scheduler& scheduler_;
+  int fd_;
+  Signal& signal_;
+};
+
+class Scheduler {
+ public:
+  explicit Scheduler(const Clock& clock);
+  Scheduler(const Scheduler&) = delete;
+  Scheduler& operator=(const Scheduler&) = delete;
+  ~Scheduler();
+
+  double now() const { return clock_.now(); }
+  const Clock& clock() const { return clock_; }
+  void run();  // until stop()
+  void stop() { stopped_ = true; }
+  // Keeps what is over until no coroutine of it can be running.
+  void bury(std::shared_ptr<void> over) { buried_.push_back(std::move(over)); }
+
+ private:
+  friend class Signal;
+  friend class Timer;
+  friend class Descriptor;
+  void resumeReady();
+  void fireTimers();
+
+  const Clock& clock_;
+  int epoll_;
+  bool stopped_ = false;
+  std::list<Signal*> ready_;
+  std::multimap<double, Timer*> timers_;
+  std::vector<std::shared_ptr<void>> buried_;
+  std::vector<Descriptor*> waking_;  // of the events in hand; one that is closed meanwhile is blanked
+};
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/runtime/stream.cpp
@@ -0,0 +1,170 @@
+#include "runtime/stream.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <system_error>
+
+namespace elmcleat {
+namespace {
+
+sockaddr_in nativeOf(const Address& address) {
+  sockaddr_in native{};
+  native.sin_family = AF_INET;
+  native.sin_addr.s_addr = htonl(address.host);
+  native.sin_port = htons(address.port);
+  return native;
+}
+
+Ending endingOf(int fault) {
+  switch (fault) {
+    case ECONNREFUSED:
+    case EHOSTUNREACH:
+    case ENETUNREACH:
+    case EADDRNOTAVAIL:
+      return Ending::refused;
+    case ETIMEDOUT:
+      return Ending::connectLate;
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+      return Ending::noDescriptor;
+    default:
+      return Ending::reset;
+  }
+}
+
+constexpr size_t kChunk = 16 * 1024;  // read at once
+
+}  // namespace
+
+int listenOn(const Address& address) {
+  int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) throw std::system_error(errno, std::generic_category(), "socket");
+  int on = 1;
+  ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);  // restarts come under the same address
+  sockaddr_in native = nativeOf(address);
+  if (::bind(fd, reinterpret_cast<sockaddr*>(&native), sizeof native) < 0 || ::listen(fd, SOMAXCONN) < 0) {
+    int fault = errno;
+    ::close(fd);
+    throw std::system_error(fault, std::generic_category(), "listening on " + textOf(address));
+  }
+  return fd;
+}
+
+void Stream::adoptDescriptor(int fd) {
+  int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  try {
+    socket_ = std::make_unique<Descriptor>(scheduler_, fd, signal_);
+  } catch (const std::system_error&) { end(Ending::noDescriptor); }
+}
+
+void Stream::adopt(int fd) {
+  up_ = true;
+  adoptDescriptor(fd);
+}
+
+void Stream::connect(const Address& address) {
+  int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return end(endingOf(errno));
+  adoptDescriptor(fd);
+  if (!socket_) return;
+  sockaddr_in native = nativeOf(address);
+  if (::connect(fd, reinterpret_cast<sockaddr*>(&native), sizeof native) == 0) up_ = true;
+  else if (errno != EINPROGRESS) end(endingOf(errno) == Ending::reset ? Ending::refused : endingOf(errno));
+}
+
+bool Stream::connected() {
+  if (up_ || !socket_) return up_;
+  sockaddr_in peer;
+  socklen_t size = sizeof peer;
+  if (::getpeername(socket_->fd(), reinterpret_cast<sockaddr*>(&peer), &size) == 0) return up_ = true;
+  int fault = 0;
+  size = sizeof fault;
+  ::getsockopt(socket_->fd(), SOL_SOCKET, SO_ERROR, &fault, &size);
+  // Whatever broke it, it never came up.
+  if (fault != 0) end(endingOf(fault) == Ending::reset ? Ending::refused : endingOf(fault));
+  return false;
+}
+
+bool Stream::fill() {
+  cutShort_ = false;
+  while (socket_) {
+    if (in_.size() >= mostIn_) {  // whoever reads makes room, or ends it
+      cutShort_ = true;
+      break;
+    }
+    size_t had = in_.size(), room = std::min(kChunk, mostIn_ - had);
+    in_.resize(had + room);
+    ssize_t got = ::recv(socket_->fd(), in_.data() + had, room, 0);
+    int fault = errno;
+    in_.resize(had + static_cast<size_t>(std::max<ssize_t>(got, 0)));
+    if (got > 0) continue;
+    if (got == 0) end(Ending::closed);
+    else if (fault == EINTR) continue;
+    else if (fault == EAGAIN) break;
+    else end(endingOf(fault));
+  }
+  return open();
+}
+
+uint64_t Stream::write(std::string bytes) {
+  uint64_t place = next_++;
+  outBytes_ += bytes.size();
+  out_.push_back({place, std::move(bytes)});
+  if (outBytes_ > mostOut_) end(Ending::overfull);
+  return place;
+}
+
+bool Stream::withdraw(uint64_t place) {
+  auto chunk = std::ranges::find(out_, place, &Chunk::place);
+  if (chunk == out_.end() || begun(place)) return false;
+  outBytes_ -= chunk->bytes.size();
+  out_.erase(chunk);
+  return true;
+}
+
+void Stream::flush() {
+  while (socket_ && up_ && !out_.empty()) {
+    iovec parts[16];
+    int count = 0;
+    size_t skip = headSent_;
+    for (auto chunk = out_.begin(); chunk != out_.end() && count < 16; ++chunk, skip = 0)
+      parts[count++] = {chunk->bytes.data() + skip, chunk->bytes.size() - skip};
+    msghdr message{};
+    message.msg_iov = parts, message.msg_iovlen = static_cast<size_t>(count);
+    ssize_t done = ::sendmsg(socket_->fd(), &message, MSG_NOSIGNAL);
+    if (done < 0) {
+      if (errno == EINTR) continue;
+      if (errno != EAGAIN) end(endingOf(errno));
+      return;
+    }
+    for (auto left = static_cast<size_t>(done); left > 0;) {
+      Chunk& head = out_.front();
+      sent_ = head.place + 1;
+      size_t part = std::min(left, head.bytes.size() - headSent_);
+      left -= part, headSent_ += part, outBytes_ -= part;
+      if (headSent_ < head.bytes.size()) break;
+      headSent_ = 0;
+      out_.pop_front();
+    }
+  }
+}
+
+void Stream::shutDown() {
+  if (socket_) ::shutdown(socket_->fd(), SHUT_WR);
+}
+
+void Stream::end(Ending ending) {
+  if (ending_ == Ending::none) ending_ = ending;
+  socket_.reset();
+}
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/runtime/stream.h
@@ -0,0 +1,63 @@
+// A TCP connection: bytes in and out through bounded buffers, and how it ended.
+#pragma once
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "protocol/address.h"
+#include "runtime/ending.h"
+#include "runtime/scheduler.h"
+
+namespace elmcleat {
+
+class Stream {
+ public:
+  Stream(Scheduler& scheduler, Signal& signal, size_t mostIn, size_t mostOut)
+      : scheduler_(scheduler), signal_(signal), mostIn_(mostIn), mostOut_(mostOut) {}
+
+  void adopt(int fd);                    // a connection that was accepted
+  void connect(const Address& address);  // connected() tells when it is up, ending() if it failed
+  bool connected();
+
+  // Reads all there is, until the buffer is full; false once the connection has ended.
+  bool fill();
+  bool cutShort() const { return cutShort_; }  // the last fill() left some, for want of room
+  std::string& in() { return in_; }
+
+  // What goes out; each write has a place, by which begun() tells whether its first byte has gone.
+  uint64_t write(std::string bytes);
+  void flush();
+  bool begun(uint64_t place) const { return place < sent_; }
+  bool withdraw(uint64_t place);  // takes back a write that has not begun
+  bool drained() const { return out_.empty(); }
+
+  bool open() const { return socket_ != nullptr; }
+  Ending ending() const { return ending_; }
+  void shutDown();          // says that nothing more goes out
+  void end(Ending ending);  // closes; the first ending counts
+
+ private:
+  struct Chunk {
+    uint64_t place;
+    std::string bytes;
+  };
+  void adoptDescriptor(int fd);
+
+  Scheduler& scheduler_;
+  Signal& signal_;
+  size_t mostIn_, mostOut_;
+  std::unique_ptr<Descriptor> socket_;
+  bool up_ = false, cutShort_ = false;
+  std::string in_;
+  std::deque<Chunk> out_;
+  size_t outBytes_ = 0, headSent_ = 0;
+  uint64_t next_ = 0, sent_ = 0;  // places given; places before this one have begun
+  Ending ending_ = Ending::none;
+};
+
+// A socket that listens, or an exception with the reason.
+int listenOn(const Address& address);
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/answer.h
@@ -0,0 +1,41 @@
+// The last stage of a command: its pages gathered, its one answer written.
+#pragma once
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/engine_lines.h"
+
+namespace elmcleat {
+
+struct Answer {  // the one and last answer to a command
+  enum class Kind { served, shed, failed };
+  Kind kind = Kind::failed;
+  std::string rows;       // JSON, with `served`
+  double retryAfter = 0;  // seconds, with `shed`; 0: no advice
+};
+
+// The pages of one result. They are passed on only when all are there: until then a lost one can be made
+// good by a further send, and the client never sees half a result.
+class Gathering {
+ public:
+  static constexpr size_t kMostBytes = 48'000;  // of one result
+
+  // Each is false if the page can't belong to this result.
+  bool first(EngineAnswer& answer);
+  bool further(EngineAnswer& answer);
+  bool begun() const { return !pages_.empty(); }
+  bool whole() const { return begun() && missing_ == 0; }
+  int pages() const { return static_cast<int>(pages_.size()); }
+  std::optional<std::string> rows() const;  // none if a row can't be read
+
+ private:
+  bool keep(size_t number, std::string& page);
+
+  std::vector<std::optional<std::string>> pages_;
+  size_t missing_ = 0, bytes_ = 0;
+};
+
+std::string httpAnswer(const Answer& answer, bool keepAlive);
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/ask.h
@@ -0,0 +1,20 @@
+// What a client's request asks for, checked here so that nothing that the module can't take gets to it.
+#pragma once
+#include <optional>
+#include <string>
+
+#include "policy.h"
+#include "protocol/http.h"
+#include "serve/ticket.h"
+
+namespace elmcleat {
+
+// The command, or the status to answer and what is wrong. `came` is when the first byte of it did.
+struct Reading {
+  std::optional<Ask> ask;
+  int status = 0;
+  std::string why;
+};
+Reading readAsk(HttpRequest&& request, const Settings& settings, double came);
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/client.h
@@ -0,0 +1,52 @@
+// A client's connection: the actor that reads its requests and writes their answers, one at a time.
+#pragma once
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "protocol/http.h"
+#include "runtime/mailbox.h"
+#include "runtime/stream.h"
+#include "serve/desk.h"
+
+namespace elmcleat {
+
+class Client final : public Asker {
+ public:
+  Client(Scheduler& scheduler, const Settings& settings, Desk& desk, int fd);
+  ~Client() override;
+  void whenOver(std::function<void()> over) { over_ = std::move(over); }
+  void start() { task_.start(); }
+
+  bool busy() const { return busy_; }  // a request is in hand, or its answer on its way
+  double idleSince() const { return idleSince_; }
+  void close();  // it is idle, and its descriptor is needed
+
+ private:
+  // Asker
+  void answer(Answer answer) override;
+  void dismiss() override;
+
+  Task run();
+  std::optional<std::string> serve(HttpRequest&& request);  // an answer at once, or a ticket
+  std::string problem(int status, const std::string& why, bool keepAlive) const;
+
+  Scheduler& scheduler_;
+  const Settings& settings_;
+  Desk& desk_;
+  std::function<void()> over_;
+  Signal signal_;
+  Mailbox mailbox_;
+  Stream stream_;
+  Timer idle_;
+  HttpReader reader_;
+  double cameAt_ = 0, idleSince_ = 0;
+  bool busy_ = false, dismissed_ = false;
+  std::shared_ptr<Ticket> ticket_;
+  std::optional<Answer> answer_;
+  Task task_;
+};
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/desk.cpp
@@ -0,0 +1,140 @@
+#include "serve/desk.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "runtime/log.h"
+
+namespace elmcleat {
+
+Desk::Desk(Scheduler& scheduler, const Settings& settings, uint64_t seed)
+    : scheduler_(scheduler),
+      signal_(scheduler),
+      mailbox_(signal_),
+      wake_(scheduler, [this] { signal_.raise(); }),
+      gateway_(openGateway(settings, seed, *this)) {}
+
+void Desk::start(Engines& engines) {
+  engines_ = &engines;
+  task_ = run();
+  task_.start();
+}
+
+Task Desk::run() {
+  while (true) {
+    co_await signal_;
+    gateway_->at(scheduler_.now());
+    mailbox_.drain();
+    gateway_->settle();
+    for (auto& ticket : std::exchange(overNow_, {})) sweep(ticket);
+  }
+}
+
+// --- from a front door
+bool Desk::take(const std::shared_ptr<Ticket>& ticket) {
+  if (!ids_.emplace(ticket->ask.id, ticket).second) return false;
+  mailbox_.post([this, ticket] {
+    const Ask& ask = ticket->ask;
+    double left = std::max(0.0, ask.endsAt - scheduler_.now());
+    ticket->command =
+        gateway_->take({ask.profile, ask.tenant, ask.tables, ask.key, ask.work, ask.memoryMb, left});
+    tickets_.emplace(ticket->command.get(), ticket);
+  });
+  return true;
+}
+
+// The asker is forgotten at once, as it may not outlive this call; the module hears of it in its turn.
+void Desk::withdraw(const std::shared_ptr<Ticket>& ticket) {
+  ticket->asker = nullptr;
+  mailbox_.post([this, ticket] {
+    if (std::exchange(ticket->over, true)) return;
+    ticket->command->withdrawn();
+    sweep(ticket);
+  });
+}
+
+bool Desk::withdraw(const std::string& id) {
+  auto found = ids_.find(id);
+  if (found == ids_.end() || found->second->over) return false;
+  auto ticket = found->second;
+  if (ticket->asker) ticket->asker->dismiss();
+  withdraw(ticket);
+  return true;
+}
+
+// --- from engines and the list
+void Desk::ended(const std::shared_ptr<Ticket>& ticket, Outcome what, double took, std::optional<Bill> bill,
+                 std::optional<Report> report, std::optional<std::string> rows) {
+  mailbox_.post([this, ticket, what, took, bill, report, rows = std::move(rows)]() mutable {
+    ticket->out = false;
+    out_.erase(ticket->command.get());
+    if (what == Outcome::answered && !ticket->over) {
+      ticket->over = true;
+      answer(*ticket, {Answer::Kind::served, std::move(*rows), 0});
+    }
+    ticket->command->outcome(what, took, ticket->over, bill ? &*bill : nullptr, report ? &*report : nullptr);
+    sweep(ticket);
+  });
+}
+
+void Desk::noted(const std::shared_ptr<Ticket>& ticket, Topic topic, double level) {
+  mailbox_.post([ticket, topic, level] {
+    if (ticket->out) ticket->command->note(topic, level);
+  });
+}
+
+void Desk::probed(uint32_t node, Outcome what, std::optional<Report> report) {
+  mailbox_.post([this, node, what, report] { gateway_->probed(node, what, report ? &*report : nullptr); });
+}
+
+void Desk::listed(ListKind kind, std::vector<NodeRow> rows) {
+  mailbox_.post([this, kind, rows = std::move(rows)] { gateway_->list(kind, rows); });
+}
+
+// --- what the module wants
+void Desk::send(Command& command, uint32_t node, double timeout) {
+  auto ticket = ticketOf(command);
+  double end = ticket->ask.endsAt, now = scheduler_.now();
+  ticket->out = true;
+  out_[&command] = node;
+  if (!engines_->send(node, ticket, timeout > 0 ? std::min(now + timeout, end) : end)) {
+    warn() << "command " << ticket->ask.id << ": engine " << node << " is not known";
+    ended(ticket, Outcome::unused, 0, {}, {}, {});
+  }
+}
+
+void Desk::terms(Command& command, int priority, double) {
+  auto ticket = ticketOf(command);
+  ticket->priority = priority;  // the lines spoken with engines have no word for a memory grant
+  if (ticket->out) engines_->reprioritise(*ticket, out_.at(&command));
+}
+
+void Desk::cancel(Command& command, int) {
+  auto ticket = ticketOf(command);
+  if (ticket->out) engines_->cancel(*ticket, out_.at(&command));
+}
+
+void Desk::shed(Command& command, double retryAfter) {
+  answer(*ticketOf(command), {Answer::Kind::shed, {}, retryAfter});
+}
+
+void Desk::fail(Command& command) { answer(*ticketOf(command), {Answer::Kind::failed, {}, 0}); }
+
+void Desk::probe(uint32_t node) { engines_->probe(node); }
+
+void Desk::log(const std::string& line) { info() << "module: " << line; }
+
+// --- ends
+void Desk::answer(Ticket& ticket, Answer answer) {
+  if (!std::exchange(ticket.over, true)) overNow_.push_back(ticketOf(*ticket.command));
+  if (Asker* asker = std::exchange(ticket.asker, nullptr)) asker->answer(std::move(answer));
+}
+
+// Forgets a command that is over and has nothing out.
+void Desk::sweep(const std::shared_ptr<Ticket>& ticket) {
+  if (!ticket->over) return;
+  ids_.erase(ticket->ask.id);
+  if (!ticket->out) tickets_.erase(ticket->command.get());
+}
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/desk.h
@@ -0,0 +1,77 @@
+// The desk: the module's actor. All that happens is posted here; a batch is at(now), the mailbox drained,
+// settle() once. What the module then wants done goes straight to the engines and the askers. Every protocol
+// that clients speak goes through take(), withdraw() and Asker.
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "policy.h"
+#include "runtime/mailbox.h"
+#include "serve/ticket.h"
+
+namespace elmcleat {
+
+// Who carries out what the module decides on engines.
+class Engines {
+ public:
+  virtual ~Engines() = default;
+  virtual bool send(uint32_t node, const std::shared_ptr<Ticket>& ticket,
+                    double until) = 0;  // false: unknown
+  virtual void reprioritise(const Ticket& ticket, uint32_t node) = 0;
+  virtual void cancel(const Ticket& ticket, uint32_t node) = 0;
+  virtual void probe(uint32_t node) = 0;
+};
+
+class Desk final : public Outlet {
+ public:
+  Desk(Scheduler& scheduler, const Settings& settings, uint64_t seed);
+  void start(Engines& engines);
+
+  // From a front door. False: a command with this id is in hand.
+  bool take(const std::shared_ptr<Ticket>& ticket);
+  void withdraw(const std::shared_ptr<Ticket>& ticket);
+  bool withdraw(const std::string& id);  // false: no such command is in hand
+
+  // From engines.
+  void ended(const std::shared_ptr<Ticket>& ticket, Outcome what, double took, std::optional<Bill> bill,
+             std::optional<Report> report, std::optional<std::string> rows);
+  void noted(const std::shared_ptr<Ticket>& ticket, Topic topic, double level);
+  void probed(uint32_t node, Outcome what, std::optional<Report> report);
+
+  // From the list.
+  void listed(ListKind kind, std::vector<NodeRow> rows);
+
+ private:
+  // What the module wants (Outlet).
+  void send(Command& command, uint32_t node, double timeout) override;
+  void terms(Command& command, int priority, double memoryMb) override;
+  void cancel(Command& command, int sendNo) override;
+  void shed(Command& command, double retryAfter) override;
+  void fail(Command& command) override;
+  void probe(uint32_t node) override;
+  void followList() override {}  // the list is followed from the start
+  void wake(double at) override { wake_.set(at); }
+  void log(const std::string& line) override;
+
+  Task run();
+  void answer(Ticket& ticket, Answer answer);
+  void sweep(const std::shared_ptr<Ticket>& ticket);
+  std::shared_ptr<Ticket> ticketOf(Command& command) { return tickets_.at(&command); }
+
+  Scheduler& scheduler_;
+  Signal signal_;
+  Mailbox mailbox_;
+  Timer wake_;
+  Engines* engines_ = nullptr;
+  std::unique_ptr<Gateway> gateway_;
+  std::unordered_map<const Command*, std::shared_ptr<Ticket>> tickets_;
+  std::unordered_map<const Command*, uint32_t> out_;              // where the send is that has no outcome
+  std::unordered_map<std::string, std::shared_ptr<Ticket>> ids_;  // of commands in hand
+  std::vector<std::shared_ptr<Ticket>> overNow_;                  // ended by the module in this batch
+  Task task_;
+};
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/door.cpp
@@ -0,0 +1,95 @@
+#include "serve/door.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "runtime/log.h"
+
+namespace elmcleat {
+namespace {
+
+// After SIGTERM new connections come for up to 0.4 s, and requests on open ones for 0.2 s more; what comes
+// later than 0.7 s is owed nothing.
+constexpr double kComing = 0.7;
+constexpr double kPause = 0.02;  // until accepting is tried again without a descriptor
+
+}  // namespace
+
+Door::Door(Scheduler& scheduler, const Config& config, Desk& desk)
+    : scheduler_(scheduler),
+      config_(config),
+      desk_(desk),
+      signal_(scheduler),
+      again_(scheduler, [this] { signal_.raise(); }),
+      leaving_(scheduler, [this] {
+        closed_ = true;
+        listener_.reset();
+        endIfDone();
+      }) {}
+
+void Door::open() {
+  listener_ = std::make_unique<Descriptor>(scheduler_, listenOn(config_.listen), signal_);
+  task_ = run();
+  task_.start();
+}
+
+void Door::leave() {
+  info() << "leaving: " << clients_.size() << " connections open";
+  leaving_.set(scheduler_.now() + kComing);
+}
+
+Task Door::run() {
+  while (true) {
+    while (listener_) {
+      int fd = ::accept4(listener_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd >= 0) {
+        admit(fd);
+      } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+        if (makeRoom()) continue;
+        warn() << "door: no descriptor for a connection: " << std::strerror(errno);
+        again_.set(scheduler_.now() + kPause);
+        break;
+      } else if (errno == EAGAIN) {
+        break;
+      }  // whatever else is wrong is wrong with that connection alone
+    }
+    co_await signal_;
+  }
+}
+
+// The first read is made at once: commands of one key are taken in the order in which they came, and those of
+// connections that were open before stand behind this one.
+void Door::admit(int fd) {
+  auto client = std::make_shared<Client>(scheduler_, config_.settings, desk_, fd);
+  Client* who = client.get();
+  who->whenOver([this, who] { over(who); });
+  clients_.emplace(who, std::move(client));
+  who->start();
+}
+
+bool Door::makeRoom() {
+  Client* longest = nullptr;
+  for (auto& [client, held] : clients_)
+    if (!client->busy() && (!longest || client->idleSince() < longest->idleSince())) longest = client;
+  if (longest) longest->close();
+  return longest != nullptr;
+}
+
+void Door::over(Client* client) {
+  auto held = clients_.extract(client);
+  if (!held.empty()) scheduler_.bury(std::move(held.mapped()));
+  endIfDone();
+}
+
+void Door::endIfDone() {
+  if (!closed_) return;
+  if (std::ranges::any_of(clients_, [](auto& held) { return held.first->busy(); })) return;
+  info() << "all answered: ends";
+  scheduler_.stop();
+}
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/door.h
@@ -0,0 +1,37 @@
+// The door: the actor that accepts clients' connections and owns them.
+#pragma once
+#include <memory>
+#include <unordered_map>
+
+#include "config/config.h"
+#include "serve/client.h"
+
+namespace elmcleat {
+
+class Door {
+ public:
+  Door(Scheduler& scheduler, const Config& config, Desk& desk);
+  void open();
+  // Accepts and serves on for as long as clients may come, then ends the scheduler when all is answered.
+  void leave();
+
+ private:
+  Task run();
+  void admit(int fd);
+  bool makeRoom();  // closes the connection that has been idle longest
+  void over(Client* client);
+  void endIfDone();
+
+  Scheduler& scheduler_;
+  const Config& config_;
+  Desk& desk_;
+  Signal signal_;
+  Timer again_;    // accepting goes on after a pause for want of descriptors
+  Timer leaving_;  // no more clients come
+  bool closed_ = false;
+  std::unique_ptr<Descriptor> listener_;
+  std::unordered_map<Client*, std::shared_ptr<Client>> clients_;
+  Task task_;
+};
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/ending.cpp
@@ -0,0 +1,32 @@
+#include "serve/ending.h"
+
+namespace elmcleat {
+
+Outcome outcomeOf(Ending ending, bool begun) {
+  if (begun) return ending == Ending::timedOut ? Outcome::expired : Outcome::reset;
+  switch (ending) {
+    // Nothing was tried at the engine, so nothing is said of it.
+    case Ending::noDescriptor:
+    case Ending::replaced:
+    case Ending::timedOut:
+      return Outcome::unused;
+    default:
+      return Outcome::connectFailed;
+  }
+}
+
+Outcome outcomeOf(Word word) {
+  switch (word) {
+    case Word::answered:
+    case Word::well:
+      return Outcome::answered;
+    case Word::full:
+      return Outcome::full;
+    case Word::over:
+      return Outcome::unused;  // its time was up when it came: it never ran
+    default:
+      return Outcome::error;
+  }
+}
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/ending.h
@@ -0,0 +1,14 @@
+// Every way in which a connection, or an exchange on it, can end.
+#pragma once
+#include "policy.h"
+#include "protocol/engine_lines.h"
+#include "runtime/ending.h"
+
+namespace elmcleat {
+
+// What the module is told of a send whose connection ended; `begun`: its first byte had gone out.
+Outcome outcomeOf(Ending ending, bool begun);
+// What it is told of a send, or a probe, that the engine answered.
+Outcome outcomeOf(Word word);
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/engine.cpp
@@ -0,0 +1,296 @@
+#include "serve/engine.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "runtime/log.h"
+#include "serve/ending.h"
+
+namespace elmcleat {
+namespace {
+
+constexpr size_t kMostIn = 64 * 1024;  // more than the longest answer
+constexpr size_t kMostOut = 1 << 20;   // statements that wait for an engine that does not read
+
+}  // namespace
+
+Engine::Link::Link(Scheduler& scheduler, Signal& signal, std::function<void()> late)
+    : stream(scheduler, signal, kMostIn, kMostOut), timer(scheduler, std::move(late)) {}
+
+Engine::Engine(Scheduler& scheduler, const LinkSettings& settings, Desk& desk, uint32_t id)
+    : scheduler_(scheduler),
+      settings_(settings),
+      desk_(desk),
+      id_(id),
+      signal_(scheduler),
+      mailbox_(signal_) {
+  task_ = run();
+  task_.start();
+}
+
+std::string Engine::name() const {
+  char text[16];
+  std::snprintf(text, sizeof text, "s-%08x", id_);
+  return std::string("engine ") + text;
+}
+
+Task Engine::run() {
+  while (true) {
+    co_await signal_;
+    mailbox_.drain();
+    for (auto link = links_.begin(); link != links_.end();) {
+      serve(**link);
+      if ((*link)->stream.open()) {
+        ++link;
+        continue;
+      }
+      lost(**link);
+      link = links_.erase(link);
+    }
+  }
+}
+
+// --- from the list
+void Engine::place(const Address& address, std::optional<double> started) {
+  mailbox_.post([this, address, started] {
+    if (address == address_ && started == started_ && !retired_) return;
+    if (!links_.empty()) release();
+    address_ = address, started_ = started, retired_ = false;
+  });
+}
+
+void Engine::retire() {
+  mailbox_.post([this] {
+    if (!std::exchange(retired_, true)) release();
+  });
+}
+
+// No connection takes anything new; what has not begun to go out never will (rule 3: for drains a send counts
+// from its first byte).
+void Engine::release() {
+  for (auto& link : links_) {
+    link->old = true;
+    for (auto at = link->sends.begin(); at != link->sends.end();) {
+      Send& send = *(at++)->second;
+      if (send.place && !link->stream.withdraw(*send.place)) continue;
+      finish(*link, send, outcomeOf(Ending::replaced, false));
+    }
+    if (link->sends.empty()) link->stream.end(Ending::replaced);
+  }
+}
+
+// --- from the desk
+void Engine::send(std::shared_ptr<Ticket> ticket, double until) {
+  mailbox_.post([this, ticket = std::move(ticket), until] {
+    const std::string& id = ticket->ask.id;
+    Link* link = retired_ ? nullptr : linkFor(id);
+    if (!link) return desk_.ended(ticket, outcomeOf(Ending::replaced, false), 0, {}, {}, {});
+    auto& send = link->sends[id];
+    send = std::make_unique<Send>(scheduler_,
+                                  [this, link, id] { expire(*link, *link->sends.at(id), Outcome::expired); });
+    send->ticket = ticket, send->sentAt = scheduler_.now(), send->until = until;
+    send->deadline.set(until);
+    if (link->sends.size() == 1) link->quietSince = send->sentAt;
+    if (link->up) write(*link, *send);
+  });
+}
+
+void Engine::write(Link& link, Send& send) {
+  const Ask& ask = send.ticket->ask;
+  send.place = link.stream.write(engine_line::send(
+      {ask.id, ask.profile, ask.token, ask.statement, send.until - scheduler_.now(), send.ticket->priority}));
+  link.timer.clear();
+}
+
+std::pair<Engine::Link*, Engine::Send*> Engine::find(const Ticket& ticket) {
+  for (auto& link : links_)
+    if (auto found = link->sends.find(ticket.ask.id); found != link->sends.end())
+      return {link.get(), found->second.get()};
+  return {nullptr, nullptr};
+}
+
+void Engine::reprioritise(const Ticket& ticket) {
+  if (auto [link, send] = find(ticket); send && send->place && !send->pages.begun()) {
+    link->stream.write(engine_line::priority(ticket.ask.id, *ticket.priority));
+    signal_.raise();
+  }
+}
+
+void Engine::cancel(const Ticket& ticket) {
+  if (auto [link, send] = find(ticket); send) expire(*link, *send, Outcome::cancelled);
+}
+
+void Engine::probe() {
+  mailbox_.post([this] {
+    Link* link = retired_ ? nullptr : linkFor({});
+    if (!link) return desk_.probed(id_, outcomeOf(Ending::replaced, false), {});
+    std::string tag = "p" + std::to_string(++probes_);
+    auto& limit = link->probes[tag];
+    limit = std::make_unique<Timer>(scheduler_, [this, link, tag] {
+      link->probes.erase(tag);
+      link->dropped[tag] = scheduler_.now();
+      desk_.probed(id_, Outcome::expired, {});
+      rest(*link);
+    });
+    limit->set(scheduler_.now() + settings_.connectTimeout);
+    if (link->up) link->stream.write(engine_line::probe(tag, settings_.reports)), link->timer.clear();
+  });
+}
+
+// --- connections
+// Notes on every send come at a set pace, so a connection with sends out on which two of them have failed to
+// come is cut off, or its engine is. What goes out on it is lost without a word; a new connection tells.
+bool Engine::mute(const Link& link) const {
+  return settings_.noteEvery > 0 && link.up && !link.sends.empty() &&
+         scheduler_.now() > link.quietSince + 2 * settings_.noteEvery;
+}
+
+// A connection with room, which has not given up this id: its late answer would be taken for the new one's.
+Engine::Link* Engine::linkFor(std::string_view id) {
+  Link* best = nullptr;
+  for (auto& link : links_) {
+    if (!link->old && mute(*link)) link->old = true, warn() << name() << ": a connection is silent";
+    if (link->old || !link->stream.open()) continue;
+    if (link->sends.size() + link->probes.size() >= static_cast<size_t>(settings_.sendsPerConnection))
+      continue;
+    if (link->dropped.contains(id) || link->sends.contains(id)) continue;
+    if (!best || (link->up && !best->up)) best = link.get();
+  }
+  if (best) return best;
+  auto& made = links_.emplace_back();
+  made = std::make_unique<Link>(scheduler_, signal_, [this, link = &made] {
+    Link& late = **link;
+    if (!late.up) late.stream.end(Ending::connectLate);
+    else if (late.sends.empty() && late.probes.empty()) late.stream.end(Ending::idle);
+    signal_.raise();
+  });
+  made->timer.set(scheduler_.now() + settings_.connectTimeout);
+  made->quietSince = scheduler_.now();
+  made->stream.connect(address_);
+  signal_.raise();
+  return made.get();
+}
+
+// With nothing open on it a connection waits for work, and is closed by us before the engine does it: else a
+// send could cross the close.
+void Engine::rest(Link& link) {
+  if (!link.sends.empty() || !link.probes.empty() || !link.up || !link.stream.open()) return;
+  if (link.old) {
+    link.stream.end(Ending::silent);
+    signal_.raise();
+  } else {
+    link.timer.set(scheduler_.now() +
+                   std::max(settings_.idle - settings_.connectTimeout, settings_.idle / 2));
+  }
+}
+
+void Engine::serve(Link& link) {
+  if (!link.up) {
+    if (!link.stream.connected()) return;
+    link.up = true, link.quietSince = scheduler_.now();
+    link.timer.clear();
+    for (auto& [id, send] : link.sends) write(link, *send);
+    for (auto& [tag, limit] : link.probes) link.stream.write(engine_line::probe(tag, settings_.reports));
+    rest(link);
+  }
+  do {
+    size_t had = link.stream.in().size();
+    link.stream.fill();
+    if (link.stream.in().size() > had) link.quietSince = scheduler_.now();
+    EngineAnswer answer;
+    EngineReader::State state;
+    while ((state = link.reader.next(link.stream.in(), answer)) == EngineReader::State::whole) {
+      heed(link, answer);
+      if (link.stream.ending() == Ending::garbled) return;
+    }
+    if (state == EngineReader::State::bad) link.stream.end(Ending::garbled);
+  } while (link.stream.open() && link.stream.cutShort());
+  link.stream.flush();
+}
+
+void Engine::lost(Link& link) {
+  Ending ending = link.stream.ending();
+  bool news = ending != Ending::idle && ending != Ending::replaced;
+  if (news || !link.sends.empty())
+    warn() << name() << " at " << textOf(address_) << ": connection ended: " << nameOf(ending) << ", "
+           << link.sends.size() << " sends out";
+  else debug() << name() << ": connection ended: " << nameOf(ending);
+  while (!link.sends.empty()) {
+    Send& send = *link.sends.begin()->second;
+    finish(link, send, outcomeOf(ending, send.place && link.stream.begun(*send.place)));
+  }
+  for (size_t left = link.probes.size(); left > 0; --left) desk_.probed(id_, outcomeOf(ending, link.up), {});
+}
+
+// --- answers
+void Engine::heed(Link& link, EngineAnswer& answer) {
+  if (auto probe = link.probes.find(answer.id); probe != link.probes.end()) {
+    link.probes.erase(probe);
+    desk_.probed(id_, outcomeOf(answer.word), answer.report);
+    return rest(link);
+  }
+  auto found = link.sends.find(answer.id);
+  if (found == link.sends.end()) {
+    if (!link.dropped.contains(answer.id)) link.stream.end(Ending::garbled);
+    return;
+  }
+  Send& send = *found->second;
+  switch (answer.word) {
+    case Word::note:
+      if (answer.topic) desk_.noted(send.ticket, *answer.topic, answer.level);
+      return;
+    case Word::answered:
+    case Word::page:
+      return heedPage(link, send, answer);
+    case Word::full:
+    case Word::error:
+    case Word::over:
+      return finish(link, send, outcomeOf(answer.word), answer.bill, answer.report);
+    default:
+      link.stream.end(Ending::garbled);  // a probe's answer under a send's id
+  }
+}
+
+void Engine::heedPage(Link& link, Send& send, EngineAnswer& answer) {
+  bool first = answer.word == Word::answered;
+  if (!(first ? send.pages.first(answer) : send.pages.further(answer)))
+    return link.stream.end(Ending::garbled);
+  const std::string& id = send.ticket->ask.id;
+  if (first && send.ticket->over) {  // withdrawn: nobody waits for the pages
+    if (send.pages.pages() > 1) link.stream.write(engine_line::close(id));
+    return finish(link, send, Outcome::answered, answer.bill, answer.report, "");
+  }
+  if (first)
+    for (int page = 1; page < send.pages.pages(); ++page) link.stream.write(engine_line::page(id, page));
+  if (!send.pages.whole()) return;
+  if (send.pages.pages() > 1) link.stream.write(engine_line::close(id));
+  auto rows = send.pages.rows();
+  if (!rows) return link.stream.end(Ending::garbled);
+  finish(link, send, Outcome::answered, answer.bill, answer.report, std::move(rows));
+}
+
+// The time is up, or the module has cancelled it. What has not begun to go out never ran.
+void Engine::expire(Link& link, Send& send, Outcome what) {
+  const std::string id = send.ticket->ask.id;
+  if (!send.place || link.stream.withdraw(*send.place))
+    return finish(link, send, outcomeOf(Ending::timedOut, false));
+  if (mute(link)) link.old = true;
+  link.stream.write(send.pages.begun() ? engine_line::close(id) : engine_line::drop(id));
+  signal_.raise();
+  std::erase_if(link.dropped, [&](auto& it) { return it.second < scheduler_.now() - settings_.idle; });
+  link.dropped[id] = scheduler_.now();
+  finish(link, send, what);
+}
+
+void Engine::finish(Link& link, Send& send, Outcome what, std::optional<Bill> bill,
+                    std::optional<Report> report, std::optional<std::string> rows) {
+  auto node = link.sends.extract(send.ticket->ask.id);
+  double took = scheduler_.now() - send.sentAt;
+  if (what != Outcome::answered)
+    debug() << name() << ": send of " << send.ticket->ask.id << " ended after " << took << " s";
+  desk_.ended(send.ticket, what, took, bill, report, std::move(rows));
+  rest(link);
+}
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/engine.h
@@ -0,0 +1,89 @@
+// An engine: the actor that speaks with one. It owns the connections to it and the sends that are out there.
+#pragma once
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "config/settings.h"
+#include "protocol/address.h"
+#include "runtime/mailbox.h"
+#include "runtime/stream.h"
+#include "serve/answer.h"
+#include "serve/desk.h"
+
+namespace elmcleat {
+
+class Engine {
+ public:
+  Engine(Scheduler& scheduler, const LinkSettings& settings, Desk& desk, uint32_t id);
+
+  // From the list. A start at another address or time is another process: what is connected is the old one.
+  void place(const Address& address, std::optional<double> started);
+  void retire();  // drains or gone: what runs there goes on, nothing new goes out
+
+  // From the desk.
+  void send(std::shared_ptr<Ticket> ticket, double until);
+  void reprioritise(const Ticket& ticket);
+  void cancel(const Ticket& ticket);
+  void probe();
+
+  bool unused() const { return retired_ && links_.empty() && mailbox_.empty(); }
+
+ private:
+  struct Link;
+  struct Send {  // a command's send, from the desk's word to its outcome
+    Send(Scheduler& scheduler, std::function<void()> late) : deadline(scheduler, std::move(late)) {}
+    std::shared_ptr<Ticket> ticket;
+    double sentAt = 0, until = 0;
+    std::optional<uint64_t> place;  // in the stream; none while the connection comes up
+    Gathering pages;
+    Timer deadline;
+  };
+  struct Link {  // one connection
+    Link(Scheduler& scheduler, Signal& signal, std::function<void()> late);
+    Stream stream;
+    EngineReader reader;
+    Timer timer;  // the connection's own: it must come up in time, and is closed when idle
+    bool up = false;
+    bool old = false;       // takes nothing new
+    double quietSince = 0;  // something has been due, and nothing came, since
+    std::map<std::string, std::unique_ptr<Send>, std::less<>> sends;
+    std::map<std::string, std::unique_ptr<Timer>, std::less<>> probes;  // by tag; each with its time limit
+    std::map<std::string, double, std::less<>> dropped;  // given up when: an answer may have crossed the word
+  };
+
+  Task run();
+  void serve(Link& link);
+  void heed(Link& link, EngineAnswer& answer);
+  void heedPage(Link& link, Send& send, EngineAnswer& answer);
+  void lost(Link& link);
+
+  Link* linkFor(std::string_view id);
+  bool mute(const Link& link) const;
+  void write(Link& link, Send& send);
+  void expire(Link& link, Send& send, Outcome what);
+  void finish(Link& link, Send& send, Outcome what, std::optional<Bill> bill = {},
+              std::optional<Report> report = {}, std::optional<std::string> rows = {});
+  void rest(Link& link);
+  void release();
+  std::pair<Link*, Send*> find(const Ticket& ticket);
+  std::string name() const;
+
+  Scheduler& scheduler_;
+  const LinkSettings& settings_;
+  Desk& desk_;
+  uint32_t id_;
+  Address address_;
+  std::optional<double> started_;
+  bool retired_ = false;
+  uint64_t probes_ = 0;
+  Signal signal_;
+  Mailbox mailbox_;
+  std::list<std::unique_ptr<Link>> links_;
+  Task task_;
+};
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/fleet.cpp
@@ -0,0 +1,128 @@
+#include "serve/fleet.h"
+
+#include <set>
+#include <utility>
+
+#include "runtime/log.h"
+
+namespace elmcleat {
+namespace {
+
+// The change log writes a frame each second: when two have failed to come, nothing will.
+constexpr double kSilence = 2.5;
+// A change log that refuses is asked again at once, and then as often as this.
+constexpr double kPause = 0.1;
+constexpr size_t kMostIn = 2 * FrameReader::kMostFrame, kMostOut = 64;
+
+}  // namespace
+
+Fleet::Fleet(Scheduler& scheduler, const Config& config, Desk& desk)
+    : scheduler_(scheduler),
+      config_(config),
+      desk_(desk),
+      signal_(scheduler),
+      timer_(scheduler, [this] { late_ = true, signal_.raise(); }),
+      reader_(config.links.zones, config.links.kinds) {}
+
+void Fleet::start() {
+  for (auto& event : config_.known) apply(event);
+  task_ = follow();
+  task_.start();
+}
+
+Task Fleet::follow() {
+  auto within = [this](double span) { late_ = false, timer_.set(scheduler_.now() + span); };
+  for (bool first = true;; first = false) {
+    Stream stream(scheduler_, signal_, kMostIn, kMostOut);
+    within(config_.links.connectTimeout);
+    stream.connect(config_.changeLog);
+    bool up = false;
+    while (stream.open()) {
+      if (!up && stream.connected()) {
+        up = true;
+        stream.write(resumeFrom(last_));
+        within(kSilence);
+        info() << "change log: connected, from event " << last_;
+      }
+      stream.flush();
+      if (up && read(stream)) within(kSilence);
+      if (late_) stream.end(up ? Ending::silent : Ending::connectLate);
+      if (stream.open()) co_await signal_;
+    }
+    timer_.clear();
+    if (up || first) warn() << "change log: connection ended: " << nameOf(stream.ending());
+    if (up) continue;  // what came up is tried again at once
+    within(kPause);
+    while (!late_) co_await signal_;
+  }
+}
+
+// True if a frame came.
+bool Fleet::read(Stream& stream) {
+  bool any = false;
+  do {
+    stream.fill();
+    ListEvent event;
+    for (FrameReader::State state; (state = reader_.next(stream.in(), event)) != FrameReader::State::more;) {
+      if (state == FrameReader::State::bad) {
+        stream.end(Ending::garbled);
+        return any;
+      }
+      any = true;
+      if (state == FrameReader::State::nothingNew || event.number <= last_) continue;
+      if (event.number > last_ + 1 && last_ > 0)
+        warn() << "change log: event " << event.number << " follows " << last_;
+      apply(event);
+    }
+  } while (stream.open() && stream.cutShort());
+  return any;
+}
+
+void Fleet::apply(const ListEvent& event) {
+  last_ = event.number;
+  if (!event.whole && event.rows.empty()) return;
+  std::set<uint32_t> named;
+  std::vector<NodeRow> rows;
+  for (auto& listing : event.rows) {
+    NodeRow& row = rows.emplace_back(listing.row);
+    if (listing.bornMs > 0) row.startedAt = scheduler_.clock().fromUnix(listing.bornMs);
+    named.insert(row.id);
+    auto& engine = engines_[row.id];
+    if (!engine) engine = std::make_unique<Engine>(scheduler_, config_.links, desk_, row.id);
+    if (row.state == NodeState::inService) engine->place(listing.address, row.startedAt);
+    else engine->retire();
+  }
+  for (auto at = engines_.begin(); at != engines_.end();) {
+    if (event.whole && !named.contains(at->first)) at->second->retire();  // not in a whole list: gone
+    at = at->second->unused() ? engines_.erase(at) : std::next(at);
+  }
+  info() << "change log: event " << event.number << ", " << (event.whole ? "whole list" : "changes") << ", "
+         << rows.size() << " engines named";
+  desk_.listed(event.whole ? ListKind::full : ListKind::changes, std::move(rows));
+}
+
+// --- from the desk
+Engine* Fleet::find(uint32_t node) {
+  auto found = engines_.find(node);
+  return found == engines_.end() ? nullptr : found->second.get();
+}
+
+bool Fleet::send(uint32_t node, const std::shared_ptr<Ticket>& ticket, double until) {
+  Engine* engine = find(node);
+  if (engine) engine->send(ticket, until);
+  return engine != nullptr;
+}
+
+void Fleet::reprioritise(const Ticket& ticket, uint32_t node) {
+  if (Engine* engine = find(node)) engine->reprioritise(ticket);
+}
+
+void Fleet::cancel(const Ticket& ticket, uint32_t node) {
+  if (Engine* engine = find(node)) engine->cancel(ticket);
+}
+
+void Fleet::probe(uint32_t node) {
+  if (Engine* engine = find(node)) engine->probe();
+}
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/fleet.h
@@ -0,0 +1,41 @@
+// The list of engines: the actor that follows the change log, and the engines that it names.
+#pragma once
+#include <memory>
+#include <unordered_map>
+
+#include "config/config.h"
+#include "runtime/stream.h"
+#include "serve/desk.h"
+#include "serve/engine.h"
+
+namespace elmcleat {
+
+class Fleet final : public Engines {
+ public:
+  Fleet(Scheduler& scheduler, const Config& config, Desk& desk);
+  void start();  // with what is known; then the change log is followed
+
+  bool send(uint32_t node, const std::shared_ptr<Ticket>& ticket, double until) override;
+  void reprioritise(const Ticket& ticket, uint32_t node) override;
+  void cancel(const Ticket& ticket, uint32_t node) override;
+  void probe(uint32_t node) override;
+
+ private:
+  Task follow();
+  bool read(Stream& stream);
+  void apply(const ListEvent& event);
+  Engine* find(uint32_t node);
+
+  Scheduler& scheduler_;
+  const Config& config_;
+  Desk& desk_;
+  Signal signal_;
+  Timer timer_;
+  bool late_ = false;  // the timer has run out
+  FrameReader reader_;
+  uint64_t last_ = 0;  // number of the last event that is known
+  std::unordered_map<uint32_t, std::unique_ptr<Engine>> engines_;
+  Task task_;
+};
+
+}  // namespace elmcleat
--- /dev/null
+++ b/src/serve/ticket.h
@@ -0,0 +1,41 @@
+// A command on its way through the program: what was asked, who asked, and the module's handle.
+#pragma once
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "policy.h"
+#include "serve/answer.h"
+
+namespace elmcleat {
+
+struct Ask {  // what a front door has read and checked
+  std::string id, profile, tenant;
+  std::string token;      // of uniqued commands: engines know a repeat by it
+  std::string statement;  // as it came
+  uint64_t tables = 0;
+  std::optional<uint64_t> key;
+  double work = 0, memoryMb = 0;  // estimates; 0: none
+  double endsAt = 0;              // when the client gives up
+};
+
+// Whoever asked: a connection of one of the protocols that clients speak.
+class Asker {
+ public:
+  virtual ~Asker() = default;
+  virtual void answer(Answer answer) = 0;  // called once at most, and never after a withdrawal
+  virtual void dismiss() = 0;              // another connection has withdrawn the command: no answer comes
+};
+
+struct Ticket {
+  Ask ask;
+  Asker* asker = nullptr;            // none once it is answered or withdrawn
+  std::shared_ptr<Command> command;  // none until the module has it
+  std::optional<int> priority;
+  int sends = 0;
+  bool out = false;   // a send has no outcome yet
+  bool over = false;  // answered or withdrawn
+};
+
+}  // namespace elmcleat
