--- a/src/config/config.h
+++ b/src/config/config.h
@@ -14,7 +14,7 @@
   std::string name;
   Address listen, changeLog;
   uint64_t seed = 0;
-  size_t sockets = 0;            // descriptors that the process may hold; 0: as the system has it
+  size_t sockets = 0;            // descriptors that the process may hold
   std::vector<ListEvent> known;  // the change log's events up to now
   Settings settings;
   LinkSettings links;
--- a/src/serve/engine.cpp
+++ b/src/serve/engine.cpp
@@ -18,11 +18,13 @@
 Engine::Link::Link(Scheduler& scheduler, Signal& signal, std::function<void()> late)
     : stream(scheduler, signal, kMostIn, kMostOut), timer(scheduler, std::move(late)) {}
 
-Engine::Engine(Scheduler& scheduler, const LinkSettings& settings, Desk& desk, uint32_t id)
+Engine::Engine(Scheduler& scheduler, const LinkSettings& settings, Desk& desk, uint32_t id,
+               const size_t& most)
     : scheduler_(scheduler),
       settings_(settings),
       desk_(desk),
       id_(id),
+      most_(most),
       signal_(scheduler),
       mailbox_(signal_) {
   task_ = run();
@@ -84,15 +86,18 @@
 void Engine::send(std::shared_ptr<Ticket> ticket, double until) {
   mailbox_.post([this, ticket = std::move(ticket), until] {
     const std::string& id = ticket->ask.id;
-    Link* link = retired_ ? nullptr : linkFor(id);
-    if (!link) return desk_.ended(ticket, outcomeOf(Ending::replaced, false), 0, {}, {}, {});
-    auto& send = link->sends[id];
+    if (retired_) return desk_.ended(ticket, outcomeOf(Ending::replaced, false), 0, {}, {}, {});
+    double now = scheduler_.now();
+    // Notes on every send come at a set pace: where two of them fail to come, the engine is cut off or gone.
+    if (settings_.noteEvery > 0 && sends_ > 0 && now > quietSince_ + 2 * settings_.noteEvery) doubt();
+    Link& link = linkFor(id);
+    auto& send = link.sends[id];
     send = std::make_unique<Send>(scheduler_,
-                                  [this, link, id] { expire(*link, *link->sends.at(id), Outcome::expired); });
-    send->ticket = ticket, send->sentAt = scheduler_.now(), send->until = until;
+                                  [this, &link, id] { giveUp(link, *link.sends.at(id), Outcome::expired); });
+    send->ticket = ticket, send->sentAt = now, send->until = until;
     send->deadline.set(until);
-    if (link->sends.size() == 1) link->quietSince = send->sentAt;
-    if (link->up) write(*link, *send);
+    if (sends_++ == 0) quietSince_ = now;
+    if (link.up) write(link, *send);
   });
 }
 
@@ -118,58 +123,78 @@
 }
 
 void Engine::cancel(const Ticket& ticket) {
-  if (auto [link, send] = find(ticket); send) expire(*link, *send, Outcome::cancelled);
+  if (auto [link, send] = find(ticket); send) giveUp(*link, *send, Outcome::cancelled);
 }
 
 void Engine::probe() {
   mailbox_.post([this] {
-    Link* link = retired_ ? nullptr : linkFor({});
-    if (!link) return desk_.probed(id_, outcomeOf(Ending::replaced, false), {});
+    if (retired_) return desk_.probed(id_, outcomeOf(Ending::replaced, false), {});
+    Link& link = linkForProbe();
     std::string tag = "p" + std::to_string(++probes_);
-    auto& limit = link->probes[tag];
-    limit = std::make_unique<Timer>(scheduler_, [this, link, tag] {
-      link->probes.erase(tag);
-      link->dropped[tag] = scheduler_.now();
+    auto& limit = link.probes[tag];
+    limit = std::make_unique<Timer>(scheduler_, [this, &link, tag] {
+      link.probes.erase(tag);
+      link.dropped[tag] = scheduler_.now();
       desk_.probed(id_, Outcome::expired, {});
-      rest(*link);
+      rest(link);
     });
     limit->set(scheduler_.now() + settings_.connectTimeout);
-    if (link->up) link->stream.write(engine_line::probe(tag, settings_.reports)), link->timer.clear();
+    if (link.up) link.stream.write(engine_line::probe(tag, settings_.reports)), link.timer.clear();
   });
 }
 
 // --- connections
-// Notes on every send come at a set pace, so a connection with sends out on which two of them have failed to
-// come is cut off, or its engine is. What goes out on it is lost without a word; a new connection tells.
-bool Engine::mute(const Link& link) const {
-  return settings_.noteEvery > 0 && link.up && !link.sends.empty() &&
-         scheduler_.now() > link.quietSince + 2 * settings_.noteEvery;
-}
-
-// A connection with room, which has not given up this id: its late answer would be taken for the new one's.
-Engine::Link* Engine::linkFor(std::string_view id) {
-  Link* best = nullptr;
+// A send gets a connection for itself while there are enough: closing it is the one way to give a send up
+// that is sure to work, and it harms no other. Beyond that they share.
+Engine::Link& Engine::linkFor(const std::string& id) {
+  Link *free = nullptr, *least = nullptr;
+  size_t open = 0;
   for (auto& link : links_) {
-    if (!link->old && mute(*link)) link->old = true, warn() << name() << ": a connection is silent";
-    if (link->old || !link->stream.open()) continue;
-    if (link->sends.size() + link->probes.size() >= static_cast<size_t>(settings_.sendsPerConnection))
-      continue;
-    if (link->dropped.contains(id) || link->sends.contains(id)) continue;
-    if (!best || (link->up && !best->up)) best = link.get();
+    if (!link->stream.open()) continue;
+    ++open;
+    size_t load = link->sends.size() + link->probes.size();
+    // Where the id was given up before, its late answer would be taken for the new one's.
+    if (link->old || link->doubted || link->dropped.contains(id)) continue;
+    if (load == 0 && link->up && !free) free = link.get();
+    if (load >= static_cast<size_t>(settings_.sendsPerConnection)) continue;
+    if (!least || load < least->sends.size() + least->probes.size()) least = link.get();
   }
-  if (best) return best;
+  if (free) return *free;
+  return open < most_ || !least ? connect() : *least;
+}
+
+Engine::Link& Engine::linkForProbe() {
+  for (auto& link : links_)
+    if (link->up && link->stream.open() && !link->old && !link->doubted) return *link;
+  return connect();
+}
+
+Engine::Link& Engine::connect() {
   auto& made = links_.emplace_back();
-  made = std::make_unique<Link>(scheduler_, signal_, [this, link = &made] {
-    Link& late = **link;
-    if (!late.up) late.stream.end(Ending::connectLate);
-    else if (late.sends.empty() && late.probes.empty()) late.stream.end(Ending::idle);
-    signal_.raise();
-  });
+  made = std::make_unique<Link>(scheduler_, signal_, [this, slot = &made] { late(**slot); });
   made->timer.set(scheduler_.now() + settings_.connectTimeout);
-  made->quietSince = scheduler_.now();
   made->stream.connect(address_);
   signal_.raise();
-  return made.get();
+  return *made;
+}
+
+void Engine::late(Link& link) {
+  if (!link.up) link.stream.end(Ending::connectLate);
+  else if (link.doubted) link.stream.end(Ending::silent);
+  else if (link.sends.empty() && link.probes.empty()) link.stream.end(Ending::idle);
+  signal_.raise();
+}
+
+// Nothing came from this engine for too long. What goes out on a connection that is cut is lost without a
+// word; a new one fails at once. So what is idle is closed, and the others take nothing new.
+void Engine::doubt() {
+  for (auto& link : links_) {
+    if (!link->up || link->old) continue;
+    link->old = true;
+    if (link->sends.empty() && link->probes.empty()) link->stream.end(Ending::silent);
+  }
+  warn() << name() << ": silent for " << scheduler_.now() - quietSince_ << " s, " << sends_ << " sends out";
+  signal_.raise();
 }
 
 // With nothing open on it a connection waits for work, and is closed by us before the engine does it: else a
@@ -177,7 +202,7 @@
 void Engine::rest(Link& link) {
   if (!link.sends.empty() || !link.probes.empty() || !link.up || !link.stream.open()) return;
   if (link.old) {
-    link.stream.end(Ending::silent);
+    link.stream.end(Ending::replaced);
     signal_.raise();
   } else {
     link.timer.set(scheduler_.now() +
@@ -188,7 +213,7 @@
 void Engine::serve(Link& link) {
   if (!link.up) {
     if (!link.stream.connected()) return;
-    link.up = true, link.quietSince = scheduler_.now();
+    link.up = true;
     link.timer.clear();
     for (auto& [id, send] : link.sends) write(link, *send);
     for (auto& [tag, limit] : link.probes) link.stream.write(engine_line::probe(tag, settings_.reports));
@@ -197,7 +222,7 @@
   do {
     size_t had = link.stream.in().size();
     link.stream.fill();
-    if (link.stream.in().size() > had) link.quietSince = scheduler_.now();
+    if (link.stream.in().size() > had) heard(link);
     EngineAnswer answer;
     EngineReader::State state;
     while ((state = link.reader.next(link.stream.in(), answer)) == EngineReader::State::whole) {
@@ -218,7 +243,8 @@
   else debug() << name() << ": connection ended: " << nameOf(ending);
   while (!link.sends.empty()) {
     Send& send = *link.sends.begin()->second;
-    finish(link, send, outcomeOf(ending, send.place && link.stream.begun(*send.place)));
+    bool begun = send.place && link.stream.begun(*send.place);
+    finish(link, send, send.givenUp.value_or(outcomeOf(ending, begun)));
   }
   for (size_t left = link.probes.size(); left > 0; --left) desk_.probed(id_, outcomeOf(ending, link.up), {});
 }
@@ -236,6 +262,7 @@
     return;
   }
   Send& send = *found->second;
+  if (send.givenUp) return;  // it crossed our word
   switch (answer.word) {
     case Word::note:
       if (answer.topic) desk_.noted(send.ticket, *answer.topic, answer.level);
@@ -270,22 +297,46 @@
   finish(link, send, Outcome::answered, answer.bill, answer.report, std::move(rows));
 }
 
-// The time is up, or the module has cancelled it. What has not begun to go out never ran.
-void Engine::expire(Link& link, Send& send, Outcome what) {
-  const std::string id = send.ticket->ask.id;
+// The time is up, or the module has cancelled it. What has not begun to go out never ran. Else it is out
+// until the engine has heard that it is given up, or the connection is closed: only then may there be a
+// further send (a cut engine would hold the first one all the while). Alone on its connection it is given up
+// by closing that; among others, the outcome waits until something comes: the word has arrived by then.
+void Engine::giveUp(Link& link, Send& send, Outcome what) {
+  if (send.givenUp) return finish(link, send, *send.givenUp);  // heard or not, its client has gone
   if (!send.place || link.stream.withdraw(*send.place))
     return finish(link, send, outcomeOf(Ending::timedOut, false));
-  if (mute(link)) link.old = true;
-  link.stream.write(send.pages.begun() ? engine_line::close(id) : engine_line::drop(id));
+  const std::string id = send.ticket->ask.id;
+  double now = scheduler_.now();
+  bool over = send.ticket->over || now >= send.ticket->ask.endsAt;  // no further send can come
+  debug() << name() << ": gives up " << id << " after " << now - send.sentAt << " s";
+  if (quietSince_ <= send.sentAt) doubt();
   signal_.raise();
-  std::erase_if(link.dropped, [&](auto& it) { return it.second < scheduler_.now() - settings_.idle; });
-  link.dropped[id] = scheduler_.now();
-  finish(link, send, what);
+  if (link.sends.size() == 1 && link.probes.empty() && !over) {
+    finish(link, send, what);
+    return link.stream.end(Ending::timedOut);
+  }
+  link.stream.write(send.pages.begun() ? engine_line::close(id) : engine_line::drop(id));
+  std::erase_if(link.dropped, [&](auto& it) { return it.second < now - settings_.idle; });
+  link.dropped[id] = now;
+  if (over) return finish(link, send, what);
+  send.givenUp = what;
+  send.deadline.set(send.ticket->ask.endsAt);
+  if (!std::exchange(link.doubted, true))
+    link.timer.set(now + std::max(settings_.connectTimeout, 2 * settings_.noteEvery));
+}
+
+void Engine::heard(Link& link) {
+  quietSince_ = scheduler_.now();
+  if (!std::exchange(link.doubted, false)) return;
+  link.timer.clear();
+  for (auto at = link.sends.begin(); at != link.sends.end();)
+    if (Send& send = *(at++)->second; send.givenUp) finish(link, send, *send.givenUp);
 }
 
 void Engine::finish(Link& link, Send& send, Outcome what, std::optional<Bill> bill,
                     std::optional<Report> report, std::optional<std::string> rows) {
   auto node = link.sends.extract(send.ticket->ask.id);
+  --sends_;
   double took = scheduler_.now() - send.sentAt;
   if (what != Outcome::answered)
     debug() << name() << ": send of " << send.ticket->ask.id << " ended after " << took << " s";
--- a/src/serve/engine.h
+++ b/src/serve/engine.h
@@ -18,7 +18,8 @@
 
 class Engine {
  public:
-  Engine(Scheduler& scheduler, const LinkSettings& settings, Desk& desk, uint32_t id);
+  // `most`: connections that it should do with; the fleet's number of engines decides, so it changes.
+  Engine(Scheduler& scheduler, const LinkSettings& settings, Desk& desk, uint32_t id, const size_t& most);
 
   // From the list. A start at another address or time is another process: what is connected is the old one.
   void place(const Address& address, std::optional<double> started);
@@ -38,7 +39,8 @@
     Send(Scheduler& scheduler, std::function<void()> late) : deadline(scheduler, std::move(late)) {}
     std::shared_ptr<Ticket> ticket;
     double sentAt = 0, until = 0;
-    std::optional<uint64_t> place;  // in the stream; none while the connection comes up
+    std::optional<uint64_t> place;   // in the stream; none while the connection comes up
+    std::optional<Outcome> givenUp;  // the engine was told, but may not have heard it
     Gathering pages;
     Timer deadline;
   };
@@ -46,10 +48,10 @@
     Link(Scheduler& scheduler, Signal& signal, std::function<void()> late);
     Stream stream;
     EngineReader reader;
-    Timer timer;  // the connection's own: it must come up in time, and is closed when idle
+    Timer timer;  // the connection's own: it must come up, or be heard, in time, and is closed when idle
     bool up = false;
-    bool old = false;       // takes nothing new
-    double quietSince = 0;  // something has been due, and nothing came, since
+    bool old = false;      // takes nothing new
+    bool doubted = false;  // a send was given up and nothing has come since
     std::map<std::string, std::unique_ptr<Send>, std::less<>> sends;
     std::map<std::string, std::unique_ptr<Timer>, std::less<>> probes;  // by tag; each with its time limit
     std::map<std::string, double, std::less<>> dropped;  // given up when: an answer may have crossed the word
@@ -61,10 +63,14 @@
   void heedPage(Link& link, Send& send, EngineAnswer& answer);
   void lost(Link& link);
 
-  Link* linkFor(std::string_view id);
-  bool mute(const Link& link) const;
+  Link& linkFor(const std::string& id);
+  Link& linkForProbe();
+  Link& connect();
+  void late(Link& link);
   void write(Link& link, Send& send);
-  void expire(Link& link, Send& send, Outcome what);
+  void giveUp(Link& link, Send& send, Outcome what);
+  void heard(Link& link);
+  void doubt();
   void finish(Link& link, Send& send, Outcome what, std::optional<Bill> bill = {},
               std::optional<Report> report = {}, std::optional<std::string> rows = {});
   void rest(Link& link);
@@ -76,10 +82,13 @@
   const LinkSettings& settings_;
   Desk& desk_;
   uint32_t id_;
+  const size_t& most_;
   Address address_;
   std::optional<double> started_;
   bool retired_ = false;
   uint64_t probes_ = 0;
+  size_t sends_ = 0;
+  double quietSince_ = 0;  // sends have been out, and nothing came from this engine, since
   Signal signal_;
   Mailbox mailbox_;
   std::list<std::unique_ptr<Link>> links_;
--- a/src/serve/fleet.cpp
+++ b/src/serve/fleet.cpp
@@ -1,5 +1,6 @@
 #include "serve/fleet.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -88,7 +89,7 @@
     if (listing.bornMs > 0) row.startedAt = scheduler_.clock().fromUnix(listing.bornMs);
     named.insert(row.id);
     auto& engine = engines_[row.id];
-    if (!engine) engine = std::make_unique<Engine>(scheduler_, config_.links, desk_, row.id);
+    if (!engine) engine = std::make_unique<Engine>(scheduler_, config_.links, desk_, row.id, linksEach_);
     if (row.state == NodeState::inService) engine->place(listing.address, row.startedAt);
     else engine->retire();
   }
@@ -96,6 +97,8 @@
     if (event.whole && !named.contains(at->first)) at->second->retire();  // not in a whole list: gone
     at = at->second->unused() ? engines_.erase(at) : std::next(at);
   }
+  // Clients hold a third of all descriptors at most; as many are for engines, and the last third is to spare.
+  linksEach_ = std::max<size_t>(1, config_.sockets / 3 / std::max<size_t>(1, engines_.size()));
   info() << "change log: event " << event.number << ", " << (event.whole ? "whole list" : "changes") << ", "
          << rows.size() << " engines named";
   desk_.listed(event.whole ? ListKind::full : ListKind::changes, std::move(rows));
--- a/src/serve/fleet.h
+++ b/src/serve/fleet.h
@@ -33,7 +33,8 @@
   Timer timer_;
   bool late_ = false;  // the timer has run out
   FrameReader reader_;
-  uint64_t last_ = 0;  // number of the last event that is known
+  uint64_t last_ = 0;     // number of the last event that is known
+  size_t linksEach_ = 1;  // connections that one engine should do with
   std::unordered_map<uint32_t, std::unique_ptr<Engine>> engines_;
   Task task_;
 };
