After a stall what came in time counts, and keys keep their order; parts of requests make way

Seen: tests that stop the program for 1.5 s. An answer that lay in the socket buffer lost to our own time-out, and of two commands of one key the later one, on a new connection, was taken first. Cause: Scheduler::run fired timers before the sockets were read (also when the wait ends by a signal, as after SIGCONT), and the door accepted and read new connections before those that were open. Now only timers that were due before the last look at the sockets fire, and the door waits for one more round. Ruled out: more than a round's window can't be told apart without the kernel's time stamps. Besides: out of descriptors, connections with part of a request make way too, and one on which something has come unread does not, as it may be a whole request that is owed an answer.

--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -12,7 +12,7 @@
 
 // --- signals
 Signal::~Signal() {
-  if (queued_) scheduler_.ready_.remove(this);
+  if (queued_) scheduler_.ready_.remove(this), scheduler_.afterOthers_.remove(this);
 }
 
 void Signal::raise() {
@@ -22,6 +22,11 @@
   scheduler_.ready_.push_back(this);
 }
 
+void Signal::Others::await_suspend(std::coroutine_handle<> waiter) {
+  signal.waiter_ = waiter, signal.queued_ = true;
+  signal.scheduler_.afterOthers_.push_back(&signal);
+}
+
 // --- timers
 void Timer::set(double at) {
   clear();
@@ -70,9 +75,8 @@
   }
 }
 
-void Scheduler::fireTimers() {
-  double time = now();
-  while (!timers_.empty() && timers_.begin()->first <= time) {
+void Scheduler::fireTimers(double until) {
+  while (!timers_.empty() && timers_.begin()->first <= until) {
     Timer* timer = timers_.begin()->second;
     timer->clear();
     auto act = timer->act_;  // the call may destroy the timer
@@ -80,26 +84,36 @@
   }
 }
 
+// Waits for the next event or timer, and wakes those concerned in the order in which their events came.
+void Scheduler::poll(bool mayWait) {
+  int wait = -1;
+  if (!ready_.empty() || !mayWait) wait = 0;
+  else if (!timers_.empty()) {
+    double left = timers_.begin()->first - now();
+    wait = static_cast<int>(std::clamp(std::ceil(left * 1e3), 0.0, 1e6));
+  }
+  epoll_event events[512];
+  int count = ::epoll_wait(epoll_, events, 512, wait);
+  if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
+  waking_.clear();
+  for (int i = 0; i < count; ++i) waking_.push_back(static_cast<Descriptor*>(events[i].data.ptr));
+  for (Descriptor* descriptor : waking_)
+    if (descriptor) descriptor->signal_.raise();
+  waking_.clear();
+}
+
 void Scheduler::run() {
-  epoll_event events[128];
   while (!stopped_) {
+    double asked = now();
+    auto deferred = std::exchange(afterOthers_, {});
+    poll(deferred.empty());
+    // Only what was due before we looked at the sockets: all that came in time has been read by then, also when
+    // we were stopped for a while.
+    ready_.splice(ready_.end(), deferred);
+    resumeReady();
+    if (!stopped_) fireTimers(asked);
     resumeReady();
     buried_.clear();
-    if (stopped_) return;
-    int wait = -1;
-    if (!ready_.empty()) wait = 0;
-    else if (!timers_.empty()) {
-      double left = timers_.begin()->first - now();
-      wait = static_cast<int>(std::clamp(std::ceil(left * 1e3), 0.0, 1e6));
-    }
-    int count = ::epoll_wait(epoll_, events, 128, wait);
-    if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
-    waking_.clear();
-    for (int i = 0; i < count; ++i) waking_.push_back(static_cast<Descriptor*>(events[i].data.ptr));
-    for (Descriptor* descriptor : waking_)
-      if (descriptor) descriptor->signal_.raise();
-    waking_.clear();
-    fireTimers();
   }
 }
 
--- a/src/runtime/scheduler.h
+++ b/src/runtime/scheduler.h
@@ -64,6 +64,15 @@
   void await_suspend(std::coroutine_handle<> waiter) { waiter_ = waiter; }
   void await_resume() { raised_ = false; }
 
+  // Waits until all that is ready by now, here or in the system, has had its turn.
+  struct Others {
+    Signal& signal;
+    bool await_ready() { return false; }
+    void await_suspend(std::coroutine_handle<> waiter);
+    void await_resume() {}  // news that came meanwhile is kept
+  };
+  Others others() { return {*this}; }
+
  private:
   friend class Scheduler;
   Scheduler& scheduler_;
@@ -124,13 +133,14 @@
   friend class Signal;
   friend class Timer;
   friend class Descriptor;
+  void poll(bool mayWait);
   void resumeReady();
-  void fireTimers();
+  void fireTimers(double until);
 
   const Clock& clock_;
   int epoll_;
   bool stopped_ = false;
-  std::list<Signal*> ready_;
+  std::list<Signal*> ready_, afterOthers_;
   std::multimap<double, Timer*> timers_;
   std::vector<std::shared_ptr<void>> buried_;
   std::vector<Descriptor*> waking_;  // of the events in hand; one that is closed meanwhile is blanked
--- a/src/serve/client.cpp
+++ b/src/serve/client.cpp
@@ -22,7 +22,7 @@
       signal_(scheduler),
       mailbox_(signal_),
       stream_(scheduler, signal_, kMostIn, kMostOut),
-      idle_(scheduler, [this] { close(); }) {
+      idle_(scheduler, [this] { tooLate(); }) {
   stream_.adopt(fd);
   idleSince_ = scheduler.now();
   task_ = run();
@@ -32,7 +32,25 @@
   if (ticket_ && !answer_) desk_.withdraw(ticket_);
 }
 
-void Client::close() {
+// True if something came. A request counts as come with its first byte.
+bool Client::read() {
+  size_t had = stream_.in().size();
+  stream_.fill();
+  if (stream_.in().size() == had) return false;
+  if (had == 0 && reader_.between()) cameAt_ = scheduler_.now();
+  return true;
+}
+
+// What the client has written, and we have not read, may be a request that is owed an answer.
+bool Client::giveWay() {
+  signal_.raise();
+  if (read()) return false;
+  stream_.end(Ending::idle);
+  return true;
+}
+
+void Client::tooLate() {
+  if (!busy_ && !giveWay()) return idle_.set(scheduler_.now() + kIdle);
   stream_.end(Ending::idle);
   signal_.raise();
 }
@@ -54,9 +72,7 @@
     idle_.set(scheduler_.now() + kIdle);
     HttpReader::State state;
     while (true) {
-      bool waiting = reader_.between() && stream_.in().empty();
-      stream_.fill();
-      if (waiting && !stream_.in().empty()) cameAt_ = scheduler_.now(), busy_ = true;
+      read();
       state = reader_.next(stream_.in(), request);
       if (state == HttpReader::State::whole || state == HttpReader::State::bad) break;
       if (state == HttpReader::State::continues)
@@ -67,6 +83,7 @@
     }
     idle_.clear();
     if (!stream_.open()) break;  // nobody is there to be answered
+    busy_ = true;
 
     // --- its answer
     std::string bytes;
@@ -91,14 +108,14 @@
     stream_.write(std::move(bytes));
     idle_.set(scheduler_.now() + kIdle);
     for (stream_.flush(); stream_.open() && !stream_.drained(); stream_.flush()) co_await signal_;
-    busy_ = !stream_.in().empty();
-    if (busy_) cameAt_ = scheduler_.now();
-    idleSince_ = scheduler_.now();
-    if (!busy_) done_();
+    busy_ = false;
+    cameAt_ = idleSince_ = scheduler_.now();  // of a next request that has come already
+    done_();
   }
   // What the client still sends is read until it closes: unread bytes would turn our close into a reset, and
   // that may overtake the answer.
   stream_.shutDown();
+  idle_.set(scheduler_.now() + kIdle);
   while (stream_.open()) {
     stream_.fill();
     stream_.in().clear();
--- a/src/serve/client.h
+++ b/src/serve/client.h
@@ -23,10 +23,10 @@
   }
   void start() { task_.start(); }
 
-  bool busy() const { return busy_; }  // a request is in hand, or its answer on its way
+  bool busy() const { return busy_; }  // a whole request is in hand, or its answer on its way
   bool idle() const { return !busy_ && stream_.open(); }
   double idleSince() const { return idleSince_; }
-  void close();  // it is idle, and its descriptor is needed
+  bool giveWay();  // closes unless something has come meanwhile; for idle ones
 
  private:
   // Asker
@@ -34,6 +34,8 @@
   void dismiss() override;
 
   Task run();
+  bool read();
+  void tooLate();
   std::optional<std::string> serve(HttpRequest&& request);  // an answer at once, or a ticket
   std::string problem(int status, const std::string& why, bool keepAlive) const;
 
--- a/src/serve/door.cpp
+++ b/src/serve/door.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <cstring>
 #include <utility>
+#include <vector>
 
 #include "runtime/log.h"
 
@@ -58,11 +59,13 @@
       }  // whatever else is wrong is wrong with that connection alone
     }
     co_await signal_;
+    // Connections that were open before are read first: a command that comes on a new one may have come later
+    // than theirs, and commands of one key are taken in the order in which they came.
+    co_await signal_.others();
   }
 }
 
-// The first read is made at once: commands of one key are taken in the order in which they came, and those of
-// connections that were open before stand behind this one.
+// The first read is made at once, before the next connection is accepted.
 void Door::admit(int fd) {
   auto client = std::make_shared<Client>(scheduler_, config_.settings, desk_, fd);
   Client* who = client.get();
@@ -72,11 +75,11 @@
 }
 
 bool Door::makeRoom() {
-  Client* longest = nullptr;
+  std::vector<Client*> idle;
   for (auto& [client, held] : clients_)
-    if (client->idle() && (!longest || client->idleSince() < longest->idleSince())) longest = client;
-  if (longest) longest->close();
-  return longest != nullptr;
+    if (client->idle()) idle.push_back(client);
+  std::ranges::sort(idle, {}, &Client::idleSince);
+  return std::ranges::any_of(idle, [](Client* client) { return client->giveWay(); });
 }
 
 void Door::over(Client* client) {
--- a/src/serve/door.h
+++ b/src/serve/door.h
@@ -18,7 +18,7 @@
  private:
   Task run();
   void admit(int fd);
-  bool makeRoom();  // closes the connection that has been idle longest
+  bool makeRoom();  // closes the connection that has waited longest for a whole request
   void over(Client* client);
   void endIfDone();
 
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -627,6 +627,32 @@
   CHECK_EQ(stage.service.status(), 0);
 }
 
+TEST_CASE("after a stall, what came in time counts, and commands of one key keep their order") {
+  Stage stage(2);
+  auto client = stage.service.client(), open = stage.service.client();
+  client->write(post(1));
+  Line send = stage.engines.next();
+  open->write("GET /check HTTP/1.1\r\n\r\n");
+  CHECK_EQ(answer(*open), "200 {}");
+  stage.service.kill(SIGSTOP);
+  pause(0.05);  // it stops in its own time
+  send.hit();
+  auto first = stage.service.client();  // wakes the door before the other connection
+  pause(0.02);
+  open->write(post(2, "load", 6000, kToken + kKey));
+  auto fresh = stage.service.client();
+  fresh->write(post(3, "load", 6000, kToken + kKey));
+  pause(1.5);  // past the time-out of the first command
+  stage.service.kill(SIGCONT);
+  CHECK_EQ(answer(*client), kServed);
+  for (int id : {2, 3}) {
+    Line next = stage.engines.next();
+    CHECK_EQ(next.verb + next.id, "GET" + idOf(id));
+    next.hit();
+  }
+  CHECK_EQ(answer(*open) + answer(*fresh), kServed + kServed);
+}
+
 TEST_CASE("after SIGKILL it starts again under the same address") {
   Stage stage(1);
   auto client = stage.service.client();
@@ -656,6 +682,18 @@
   CHECK_EQ(answer(*client), "200 {}");
   send.hit();
   CHECK_EQ(answer(*busy), kServed);
+
+  // Parts of requests make way as well; a whole one that we have not read yet does not.
+  for (int i = 0; i < 40; ++i) idle.push_back(service.client()), idle.back()->write("POST /do/qu");
+  client = service.client();
+  client->write("GET /check HTTP/1.1\r\n\r\n");
+  CHECK_EQ(answer(*client), "200 {}");
+  service.kill(SIGSTOP);
+  pause(0.05);
+  client->write("GET /check HTTP/1.1\r\n\r\n");
+  for (int i = 0; i < 40; ++i) idle.push_back(service.client());
+  service.kill(SIGCONT);
+  CHECK_EQ(answer(*client), "200 {}");
 }
 
 TEST_CASE("a log that nobody reads does not hold it up") {
