--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -53,7 +53,6 @@
 
 void Descriptor::close() {
   if (fd_ < 0) return;
-  std::replace(scheduler_.waking_.begin(), scheduler_.waking_.end(), this, static_cast<Descriptor*>(nullptr));
   ::close(fd_);
   fd_ = -1;
 }
@@ -95,11 +94,12 @@
   epoll_event events[512];
   int count = ::epoll_wait(epoll_, events, 512, wait);
   if (count < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
-  waking_.clear();
-  for (int i = 0; i < count; ++i) waking_.push_back(static_cast<Descriptor*>(events[i].data.ptr));
-  for (Descriptor* descriptor : waking_)
-    if (descriptor) descriptor->signal_.raise();
-  waking_.clear();
+  for (int i = 0; i < count; ++i) {
+    auto& descriptor = *static_cast<Descriptor*>(events[i].data.ptr);
+    descriptor.news_ |= (events[i].events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+    descriptor.hungUp_ |= (events[i].events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+    descriptor.signal_.raise();  // resumes nothing yet: no descriptor closes here
+  }
 }
 
 void Scheduler::run() {
--- a/src/runtime/scheduler.h
+++ b/src/runtime/scheduler.h
@@ -107,12 +107,17 @@
   ~Descriptor() { close(); }
   int fd() const { return fd_; }
   void close();
+  // Whether there may be something to read: set by the system's news, cleared by whoever has read it all.
+  bool news() const { return news_; }
+  bool hungUp() const { return hungUp_; }  // the other side has closed: there is an end to be read
+  void readAll() { news_ = hungUp_; }
 
  private:
   friend class Scheduler;
   Scheduler& scheduler_;
   int fd_;
   Signal& signal_;
+  bool news_ = true, hungUp_ = false;
 };
 
 class Scheduler {
@@ -143,7 +148,6 @@
   std::list<Signal*> ready_, afterOthers_;
   std::multimap<double, Timer*> timers_;
   std::vector<std::shared_ptr<void>> buried_;
-  std::vector<Descriptor*> waking_;  // of the events in hand; one that is closed meanwhile is blanked
 };
 
 }  // namespace elmcleat
--- a/src/runtime/stream.cpp
+++ b/src/runtime/stream.cpp
@@ -94,23 +94,27 @@
   return false;
 }
 
-bool Stream::fill() {
+bool Stream::fill(bool look) {
+  static char chunk[kChunk];  // one thread; a buffer of the stream's own would be cleared at each read
   cutShort_ = false;
-  while (socket_) {
+  for (; socket_ && (look || socket_->news()); look = false) {
     if (in_.size() >= mostIn_) {  // whoever reads makes room, or ends it
       cutShort_ = true;
       break;
     }
-    size_t had = in_.size(), room = std::min(kChunk, mostIn_ - had);
-    in_.resize(had + room);
-    ssize_t got = ::recv(socket_->fd(), in_.data() + had, room, 0);
-    int fault = errno;
-    in_.resize(had + static_cast<size_t>(std::max<ssize_t>(got, 0)));
-    if (got > 0) continue;
-    if (got == 0) end(Ending::closed);
-    else if (fault == EINTR) continue;
-    else if (fault == EAGAIN) break;
-    else end(endingOf(fault));
+    size_t room = std::min(kChunk, mostIn_ - in_.size());
+    ssize_t got = ::recv(socket_->fd(), chunk, room, 0);
+    if (got > 0) {
+      in_.append(chunk, static_cast<size_t>(got));
+      if (static_cast<size_t>(got) < room) socket_->readAll();  // but for an end, if one has been announced
+    } else if (got == 0) {
+      end(Ending::closed);
+    } else if (errno == EAGAIN) {
+      socket_->readAll();
+      break;
+    } else if (errno != EINTR) {
+      end(endingOf(errno));
+    }
   }
   return open();
 }
--- a/src/serve/client.cpp
+++ b/src/serve/client.cpp
@@ -33,9 +33,9 @@
 }
 
 // True if something came. A request counts as come with its first byte.
-bool Client::read() {
+bool Client::read(bool look) {
   size_t had = stream_.in().size();
-  stream_.fill();
+  stream_.fill(look);
   if (stream_.in().size() == had) return false;
   if (had == 0 && reader_.between()) cameAt_ = scheduler_.now();
   return true;
@@ -44,7 +44,7 @@
 // What the client has written, and we have not read, may be a request that is owed an answer.
 bool Client::giveWay() {
   signal_.raise();
-  if (read()) return false;
+  if (read(true)) return false;
   stream_.end(Ending::idle);
   return true;
 }
--- a/src/serve/client.h
+++ b/src/serve/client.h
@@ -34,7 +34,7 @@
   void dismiss() override;
 
   Task run();
-  bool read();
+  bool read(bool look = false);
   void tooLate();
   std::optional<std::string> serve(HttpRequest&& request);  // an answer at once, or a ticket
   std::string problem(int status, const std::string& why, bool keepAlive) const;
--- a/src/serve/engine.cpp
+++ b/src/serve/engine.cpp
@@ -130,7 +130,8 @@
   mailbox_.post([this] {
     if (retired_) return desk_.probed(id_, outcomeOf(Ending::replaced, false), {});
     Link& link = linkForProbe();
-    std::string tag = "p" + std::to_string(++probes_);
+    std::string tag(1, 'p');  // no id of a command begins so
+    tag += std::to_string(++probes_);
     auto& limit = link.probes[tag];
     limit = std::make_unique<Timer>(scheduler_, [this, &link, tag] {
       link.probes.erase(tag);
