Commands with a key never share a connection: given up for sure before the next of the key goes out

Cause: Engine::giveUp took the client's end for the last word; it is for further sends, not for the key. Now a send alone on its connection is always given up by closing it, and commands with a key are always alone, also beyond the connections that an engine should do with. A test over sockets shows it; it fails with the old giveUp.

--- a/src/protocol/address.cpp
+++ b/src/protocol/address.cpp
@@ -30,7 +30,7 @@
 std::string textOf(const Address& address) {
   std::string text;
   for (int shift = 24; shift >= 0; shift -= 8)
-    text += std::to_string(address.host >> shift & 255) + (shift > 0 ? "." : ":");
+    text.append(std::to_string(address.host >> shift & 255)).append(1, shift > 0 ? '.' : ':');
   return text + std::to_string(address.port);
 }
 
--- a/src/serve/client.cpp
+++ b/src/serve/client.cpp
@@ -135,7 +135,7 @@
   bool keepAlive = request.keepAlive;
   if (auto query = request.path.find('?'); query != std::string::npos) request.path.resize(query);
   if (request.path == "/check") {
-    if (request.method == "GET" || request.method == "HEAD") return httpAnswer(200, "{}", keepAlive);
+    if (request.method == "GET") return httpAnswer(200, "{}", keepAlive);
     return problem(405, "/check by " + request.method, keepAlive);
   }
   if (!request.path.starts_with("/do/")) return problem(404, "unknown path", keepAlive);
--- a/src/serve/engine.cpp
+++ b/src/serve/engine.cpp
@@ -90,7 +90,7 @@
     double now = scheduler_.now();
     // Notes on every send come at a set pace: where two of them fail to come, the engine is cut off or gone.
     if (settings_.noteEvery > 0 && sends_ > 0 && now > quietSince_ + 2 * settings_.noteEvery) doubt();
-    Link& link = linkFor(id);
+    Link& link = linkFor(*ticket);
     auto& send = link.sends[id];
     send = std::make_unique<Send>(scheduler_,
                                   [this, &link, id] { giveUp(link, *link.sends.at(id), Outcome::expired); });
@@ -146,8 +146,9 @@
 
 // --- connections
 // A send gets a connection for itself while there are enough: closing it is the one way to give a send up
-// that is sure to work, and it harms no other. Beyond that they share.
-Engine::Link& Engine::linkFor(const std::string& id) {
+// that is sure to work, and it harms no other. Beyond that they share, but for commands with a key: the next of
+// the key goes out as soon as this one's client has gone, and by then it has to be given up for sure (rule 5).
+Engine::Link& Engine::linkFor(const Ticket& ticket) {
   Link *free = nullptr, *least = nullptr;
   size_t open = 0;
   for (auto& link : links_) {
@@ -155,8 +156,10 @@
     ++open;
     size_t load = link->sends.size() + link->probes.size();
     // Where the id was given up before, its late answer would be taken for the new one's.
-    if (link->old || link->doubted || link->dropped.contains(id)) continue;
+    if (link->old || link->doubted || link->dropped.contains(ticket.ask.id)) continue;
     if (load == 0 && link->up && !free) free = link.get();
+    if (ticket.ask.key || (load > 0 && !link->sends.empty() && link->sends.begin()->second->ticket->ask.key))
+      continue;
     if (load >= static_cast<size_t>(settings_.sendsPerConnection)) continue;
     if (!least || load < least->sends.size() + least->probes.size()) least = link.get();
   }
@@ -189,11 +192,13 @@
 // Nothing came from this engine for too long. What goes out on a connection that is cut is lost without a
 // word; a new one fails at once. So what is idle is closed, and the others take nothing new.
 void Engine::doubt() {
+  bool any = false;
   for (auto& link : links_) {
     if (!link->up || link->old) continue;
-    link->old = true;
+    any = link->old = true;
     if (link->sends.empty() && link->probes.empty()) link->stream.end(Ending::silent);
   }
+  if (!any) return;
   warn() << name() << ": silent for " << scheduler_.now() - quietSince_ << " s, " << sends_ << " sends out";
   signal_.raise();
 }
@@ -237,7 +242,7 @@
 
 void Engine::lost(Link& link) {
   Ending ending = link.stream.ending();
-  bool news = ending != Ending::idle && ending != Ending::replaced;
+  bool news = ending != Ending::idle && ending != Ending::replaced && ending != Ending::timedOut;
   if (news || !link.sends.empty())
     warn() << name() << " at " << textOf(address_) << ": connection ended: " << nameOf(ending) << ", "
            << link.sends.size() << " sends out";
@@ -299,27 +304,28 @@
 }
 
 // The time is up, or the module has cancelled it. What has not begun to go out never ran. Else it is out
-// until the engine has heard that it is given up, or the connection is closed: only then may there be a
-// further send (a cut engine would hold the first one all the while). Alone on its connection it is given up
-// by closing that; among others, the outcome waits until something comes: the word has arrived by then.
+// until the engine has heard that it is given up, or the connection is closed (a cut engine would hold it all
+// the while): only then may a further send go out, or the next command of its key. Alone on its connection it
+// is given up by closing that; among others, the outcome waits until something comes: the word has arrived by
+// then.
 void Engine::giveUp(Link& link, Send& send, Outcome what) {
   if (send.givenUp) return finish(link, send, *send.givenUp);  // heard or not, its client has gone
   if (!send.place || link.stream.withdraw(*send.place))
     return finish(link, send, outcomeOf(Ending::timedOut, false));
   const std::string id = send.ticket->ask.id;
   double now = scheduler_.now();
-  bool over = send.ticket->over || now >= send.ticket->ask.endsAt;  // no further send can come
   debug() << name() << ": gives up " << id << " after " << now - send.sentAt << " s";
   if (quietSince_ <= send.sentAt) doubt();
   signal_.raise();
-  if (link.sends.size() == 1 && link.probes.empty() && !over) {
+  if (link.sends.size() == 1) {
     finish(link, send, what);
     return link.stream.end(Ending::timedOut);
   }
   link.stream.write(send.pages.begun() ? engine_line::close(id) : engine_line::drop(id));
   std::erase_if(link.dropped, [&](auto& it) { return it.second < now - settings_.idle; });
   link.dropped[id] = now;
-  if (over) return finish(link, send, what);
+  if (send.ticket->over || now >= send.ticket->ask.endsAt)
+    return finish(link, send, what);  // no further send
   send.givenUp = what;
   send.deadline.set(send.ticket->ask.endsAt);
   if (!std::exchange(link.doubted, true))
--- a/src/serve/engine.h
+++ b/src/serve/engine.h
@@ -63,7 +63,7 @@
   void heedPage(Link& link, Send& send, EngineAnswer& answer);
   void lost(Link& link);
 
-  Link& linkFor(const std::string& id);
+  Link& linkFor(const Ticket& ticket);
   Link& linkForProbe();
   Link& connect();
   void late(Link& link);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -81,6 +81,7 @@
     char part[4096];
     ssize_t got = recv(fd_, part, sizeof part, 0);
     if (got > 0) in.append(part, static_cast<size_t>(got));
+    else over_ = got == 0 || errno != EAGAIN;
     return got > 0;
   }
   std::string until(const std::string& mark) {
@@ -97,14 +98,15 @@
     in.erase(0, text.size());
     return text;
   }
-  bool ended() {
+  bool ended() {  // by the other side, with nothing left to read
     while (in.empty() && more()) {}
-    return in.empty();
+    return in.empty() && over_;
   }
   std::string in;
 
  private:
   int fd_;
+  bool over_ = false;
 };
 
 class Listener {
@@ -534,6 +536,24 @@
   CHECK(silent.from->ended());
 }
 
+TEST_CASE("the next command of a key waits until the one before is given up for sure") {
+  Stage stage(1, 5);  // descriptors for one connection to the engine, were they to share it
+  auto other = stage.service.client(), one = stage.service.client(), two = stage.service.client();
+  other->write(post(1, "once"));
+  Line shared = stage.engines.next();
+  one->write(post(2, "load", 400, kToken + kKey));
+  Line first = stage.engines.next();
+  CHECK_NE(first.from, shared.from);
+  two->write(post(3, "load", 6000, kToken + kKey));
+  CHECK_EQ(answer(*one), kFailed);
+  Line second = stage.engines.next();
+  CHECK_EQ(second.verb + second.id, "GET" + idOf(3));
+  CHECK(first.from->ended());
+  second.hit();
+  shared.hit();
+  CHECK_EQ(answer(*two) + answer(*other), kServed + kServed);
+}
+
 TEST_CASE(
     "where sends share a connection, a further one waits until the engine has heard of the first's end") {
   Stage stage(1, 5);  // descriptors for one connection to the engine
