A coroutine that is destroyed waits for nothing; tests of probes and of new priorities

Seen: a second run of the test loop did nothing, as Scheduler::stop() held for ever, so "destroying one ends it" checked nothing after its first part. Once run() starts anew it crashed: a Task destroyed while its signal was raised was resumed (src/runtime/scheduler.h, Signal). The wait now lives in the coroutine's frame and takes itself off its signal. New tests: an engine is asked for its load and the report is heeded, over sockets; RANK follows a send that is out.

--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -11,8 +11,11 @@
 namespace elmcleat {
 
 // --- signals
-Signal::~Signal() {
-  if (queued_) scheduler_.ready_.remove(this), scheduler_.afterOthers_.remove(this);
+Signal::~Signal() { forget(); }
+
+void Signal::forget() {
+  waiter_ = nullptr;
+  if (std::exchange(queued_, false)) scheduler_.ready_.remove(this), scheduler_.afterOthers_.remove(this);
 }
 
 void Signal::raise() {
@@ -22,9 +25,11 @@
   scheduler_.ready_.push_back(this);
 }
 
-void Signal::Others::await_suspend(std::coroutine_handle<> waiter) {
-  signal.waiter_ = waiter, signal.queued_ = true;
-  signal.scheduler_.afterOthers_.push_back(&signal);
+void Signal::Wait::await_suspend(std::coroutine_handle<> waiter) {
+  signal_.waiter_ = waiter_ = waiter;
+  if (!others_) return;
+  signal_.queued_ = true;
+  signal_.scheduler_.afterOthers_.push_back(&signal_);
 }
 
 // --- timers
@@ -103,7 +108,7 @@
 }
 
 void Scheduler::run() {
-  while (!stopped_) {
+  for (stopped_ = false; !stopped_;) {
     double asked = now();
     auto deferred = std::exchange(afterOthers_, {});
     poll(deferred.empty());
--- a/src/runtime/scheduler.h
+++ b/src/runtime/scheduler.h
@@ -60,21 +60,35 @@
 
   void raise();
 
-  bool await_ready() { return std::exchange(raised_, false); }
-  void await_suspend(std::coroutine_handle<> waiter) { waiter_ = waiter; }
-  void await_resume() { raised_ = false; }
-
-  // Waits until all that is ready by now, here or in the system, has had its turn.
-  struct Others {
-    Signal& signal;
-    bool await_ready() { return false; }
+  // A wait lives in the coroutine that waits; should that be destroyed, nobody waits any more.
+  class Wait {
+   public:
+    Wait(Signal& signal, bool others) : signal_(signal), others_(others) {}
+    Wait(const Wait&) = delete;
+    Wait& operator=(const Wait&) = delete;
+    ~Wait() {
+      if (waiter_ && signal_.waiter_ == waiter_) signal_.forget();
+    }
+    bool await_ready() { return !others_ && std::exchange(signal_.raised_, false); }
     void await_suspend(std::coroutine_handle<> waiter);
-    void await_resume() {}  // news that came meanwhile is kept
+    void await_resume() {
+      if (!others_) signal_.raised_ = false;
+    }
+
+   private:
+    Signal& signal_;
+    bool others_;
+    std::coroutine_handle<> waiter_;
   };
-  Others others() { return {*this}; }
+  Wait operator co_await() { return {*this, false}; }
+  // Waits until all that is ready by now, here or in the system, has had its turn; news that comes meanwhile
+  // is kept.
+  Wait others() { return {*this, true}; }
 
  private:
   friend class Scheduler;
+  void forget();
+
   Scheduler& scheduler_;
   std::coroutine_handle<> waiter_;
   bool raised_ = false, queued_ = false;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -1,5 +1,6 @@
 // The scheduler, the configuration and the small pieces between sockets and the module.
 #include <doctest/doctest.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -13,6 +14,7 @@
 #include "serve/client.h"
 #include "serve/desk.h"
 #include "serve/ending.h"
+#include "serve/engine.h"
 
 using namespace elmcleat;
 
@@ -177,6 +179,41 @@
   ::close(ends[1]);
 }
 
+TEST_CASE("a new priority follows a send that is out, and not one that waits for its connection") {
+  Loop loop;
+  Settings settings;
+  LinkSettings links;
+  links.sendsPerConnection = 2, links.connectTimeout = 1, links.idle = 15;
+  Desk desk(loop.scheduler, settings, 1);
+  sockaddr_in native{};
+  native.sin_family = AF_INET, native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof native;
+  int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE_EQ(::bind(listener, reinterpret_cast<sockaddr*>(&native), size), 0);
+  REQUIRE_EQ(::listen(listener, 5), 0);
+  ::getsockname(listener, reinterpret_cast<sockaddr*>(&native), &size);
+  size_t most = 1;
+  Engine engine(loop.scheduler, links, desk, 7, most);
+  engine.place({INADDR_LOOPBACK, ntohs(native.sin_port)}, std::nullopt);
+  auto ticket = std::make_shared<Ticket>();
+  ticket->ask.id = "9b1f", ticket->ask.profile = "quick", ticket->ask.statement = "x";
+  ticket->ask.endsAt = loop.scheduler.now() + 5, ticket->priority = 1;
+  engine.send(ticket, loop.scheduler.now() + 1);
+  ticket->priority = 2;
+  engine.reprioritise(ticket);  // it takes the new one along
+  loop.runFor(0.05);
+  ticket->priority = 3;
+  engine.reprioritise(ticket);
+  loop.runFor(0.05);
+  char text[200];
+  int peer = ::accept(listener, nullptr, nullptr);
+  ssize_t got = ::recv(peer, text, sizeof text, MSG_DONTWAIT);
+  std::string lines(text, static_cast<size_t>(std::max<ssize_t>(got, 0)));
+  CHECK_NE(lines.find(",weight=2 1\r\nx\r\nRANK 9b1f 3\r\n"), std::string::npos);
+  CHECK_EQ(lines.find("RANK 9b1f 2"), std::string::npos);
+  ::close(peer), ::close(listener);
+}
+
 TEST_CASE("each way to end has its outcome") {
   std::ostringstream told;
   for (int i = int(Ending::refused); i <= int(Ending::timedOut); ++i) {
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -588,6 +588,32 @@
   CHECK_EQ(answer(*other), kServed);
 }
 
+TEST_CASE("an engine is asked how it is where few sends tell, and its report is understood") {
+  Engines engines(3);
+  Service service(engines, 3);
+  service.config["settings"]["limits"]["probing"] = true;
+  service.config["settings"]["report"] = {{"how", "on_probe"}, {"fields", {"concurrent", "depth"}}};
+  service.start(), service.ready();
+  auto client = service.client();
+  for (int id = 1; id <= 8; ++id) {
+    client->write(post(id));
+    engines.next().hit();
+    CHECK_EQ(answer(*client), kServed);
+  }
+  for (int probes = 0; probes < 2; ++probes) {
+    Line probe = engines.next();
+    CHECK_EQ(probe.verb, "LOAD");
+    probe.answer("PONG", "meter=concurrent:2;depth:3");
+  }
+  client->write(post(9));
+  Line send = engines.next();
+  while (send.verb == "LOAD") send.answer("SICK"), send = engines.next();
+  send.hit();
+  CHECK_EQ(answer(*client), kServed);
+  CHECK_EQ(service.log().find("garbled"), std::string::npos);
+  CHECK_NE(service.log().find("pressure shown"), std::string::npos);  // commands wait there, it said
+}
+
 TEST_CASE("an engine that talks nonsense loses its connection, and nothing else") {
   Stage stage;
   auto client = stage.service.client();
