--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -1,4 +1,4 @@
-// The settings of a deployment, as the simulator's first message and the dispatcher's configuration hold them.
+// The settings of a deployment, as in the simulator's first message and the dispatcher's configuration.
 #pragma once
 #include <string>
 #include <vector>
--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -112,8 +112,8 @@
     double asked = now();
     auto deferred = std::exchange(afterOthers_, {});
     poll(deferred.empty());
-    // Only what was due before we looked at the sockets: all that came in time has been read by then, also when
-    // we were stopped for a while.
+    // Only what was due before we looked at the sockets: all that came in time has been read by then,
+    // also when we were stopped for a while.
     ready_.splice(ready_.end(), deferred);
     resumeReady();
     if (!stopped_) fireTimers(asked);
--- a/src/runtime/stream.h
+++ b/src/runtime/stream.h
@@ -21,8 +21,8 @@
   void connect(const Address& address);  // connected() tells when it is up, ending() if it failed
   bool connected();
 
-  // Reads all there is, until the buffer is full; false once the connection has ended. The system is asked only
-  // when it has told of something, or with `look`.
+  // Reads all there is, until the buffer is full; false once the connection has ended. The system is asked
+  // only when it has told of something, or with `look`.
   bool fill(bool look = false);
   bool cutShort() const { return cutShort_; }  // the last fill() left some, for want of room
   std::string& in() { return in_; }
--- a/src/serve/engine.cpp
+++ b/src/serve/engine.cpp
@@ -148,8 +148,9 @@
 
 // --- connections
 // A send gets a connection for itself while there are enough: closing it is the one way to give a send up
-// that is sure to work, and it harms no other. Beyond that they share, but for commands with a key: the next of
-// the key goes out as soon as this one's client has gone, and by then it has to be given up for sure (rule 5).
+// that is sure to work, and it harms no other. Beyond that they share, but for commands with a key: the next
+// of the key goes out as soon as this one's client has gone, and by then it has to be given up for sure
+// (rule 5).
 Engine::Link& Engine::linkFor(const Ticket& ticket) {
   Link *free = nullptr, *least = nullptr;
   size_t open = 0;
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -1,5 +1,5 @@
-// The program as its users meet it: started as a process and spoken to over sockets, with stand-ins for engines
-// and the change log. Every wait is bounded.
+// The program as its users meet it: started as a process and spoken to over sockets, with stand-ins for
+// engines and the change log. Every wait is bounded.
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <fcntl.h>
