--- a/src/main.cpp
+++ b/src/main.cpp
@@ -19,33 +19,47 @@
 int signalDescriptor() {
   sigset_t heeded;
   sigemptyset(&heeded);
-  sigaddset(&heeded, SIGTERM), sigaddset(&heeded, SIGINT);
+  for (int one : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&heeded, one);
   sigprocmask(SIG_BLOCK, &heeded, nullptr);
   signal(SIGPIPE, SIG_IGN);  // a log reader that has gone must not end us
   return signalfd(-1, &heeded, SFD_NONBLOCK | SFD_CLOEXEC);
 }
 
-Task leaveOnSignal(const Descriptor& signals, Signal& signal, Door& door) {
-  signalfd_siginfo heard;
-  while (read(signals.fd(), &heard, sizeof heard) != sizeof heard) co_await signal;
-  door.leave();
+// What can change while commands are in hand does: where the list is followed and the level of the log. A file
+// that can't be used changes nothing.
+void readAgain(Fleet& fleet) {
+  try {
+    Config config = readConfig();
+    Log::filter(config.log);
+    info() << "configuration: read again";
+    fleet.follow(config.changeLog);
+  } catch (const std::exception& fault) { warn() << "configuration: the old one stays: " << fault.what(); }
+}
+
+Task heedSignals(const Descriptor& signals, Signal& signal, Fleet& fleet, Door& door) {
+  for (signalfd_siginfo heard;;) {
+    while (read(signals.fd(), &heard, sizeof heard) != sizeof heard) co_await signal;
+    if (heard.ssi_signo == SIGHUP) readAgain(fleet);
+    else door.leave();
+  }
 }
 
 void run() {
+  int heeded = signalDescriptor();  // first of all: no signal ends us from here on
   Config config = readConfig();
   Log::filter(config.log);
   Clock clock;
   Scheduler scheduler(clock);
   Signal signal(scheduler);
-  Descriptor signals(scheduler, signalDescriptor(), signal);
+  Descriptor signals(scheduler, heeded, signal);
   Desk desk(scheduler, config.settings, config.seed);
   Fleet fleet(scheduler, config, desk);
   Door door(scheduler, config, desk);
   desk.start(fleet);
   fleet.start();
   door.open();
-  Task leaving = leaveOnSignal(signals, signal, door);
-  leaving.start();
+  Task heeding = heedSignals(signals, signal, fleet, door);
+  heeding.start();
   info() << config.name << ": listens on " << textOf(config.listen);
   scheduler.run();
 }
--- a/src/runtime/ending.h
+++ b/src/runtime/ending.h
@@ -14,7 +14,7 @@
   overfull,      // more came, or waits to go out, than a buffer may hold
   idle,          // closed by us with nothing open on it
   silent,        // closed by us: nothing came for too long
-  replaced,      // closed by us: its engine drains, is gone, or started anew
+  replaced,      // closed by us: who is there drains, is gone, or has been replaced by another
   timedOut,      // the exchange alone: its time is up
 };
 constexpr const char* nameOf(Ending ending) {
--- a/src/serve/fleet.cpp
+++ b/src/serve/fleet.cpp
@@ -25,20 +25,30 @@
       signal_(scheduler),
       mailbox_(signal_),
       timer_(scheduler, [this] { late_ = true, signal_.raise(); }),
+      changeLog_(config.changeLog),
       reader_(config.links.zones, config.links.kinds) {}
 
 void Fleet::start() {
   for (auto& event : config_.known) apply(event);
-  task_ = follow();
+  task_ = run();
   task_.start();
 }
 
-Task Fleet::follow() {
+void Fleet::follow(const Address& changeLog) {
+  mailbox_.post([this, changeLog] {
+    if (changeLog == changeLog_) return;
+    info() << "change log: moves to " << textOf(changeLog);
+    changeLog_ = changeLog, moved_ = true;
+  });
+}
+
+Task Fleet::run() {
   auto within = [this](double span) { late_ = false, timer_.set(scheduler_.now() + span); };
   for (bool first = true;; first = false) {
     Stream stream(scheduler_, signal_, kMostIn, kMostOut);
     within(config_.links.connectTimeout);
-    stream.connect(config_.changeLog);
+    moved_ = false;
+    stream.connect(changeLog_);
     bool up = false;
     while (stream.open()) {
       if (!up && stream.connected()) {
@@ -49,6 +59,7 @@
       }
       stream.flush();
       if (up && read(stream)) within(kSilence);
+      if (moved_) stream.end(Ending::replaced);  // after what it had told is read
       if (late_) stream.end(up ? Ending::silent : Ending::connectLate);
       if (!stream.open()) break;
       co_await signal_;
@@ -56,9 +67,9 @@
     }
     timer_.clear();
     if (up || first) warn() << "change log: connection ended: " << nameOf(stream.ending());
-    if (up) continue;  // what came up is tried again at once
+    if (up || moved_) continue;  // what came up, or is another, is tried at once
     within(kPause);
-    while (!late_) {
+    while (!late_ && !moved_) {
       co_await signal_;
       mailbox_.drain();
     }
--- a/src/serve/fleet.h
+++ b/src/serve/fleet.h
@@ -15,7 +15,8 @@
 class Fleet final : public Engines {
  public:
   Fleet(Scheduler& scheduler, const Config& config, Desk& desk);
-  void start();  // with what is known; then the change log is followed
+  void start();                           // with what is known; then the change log is followed
+  void follow(const Address& changeLog);  // from the last number on, at once, if it is another one
 
   void send(uint32_t node, std::shared_ptr<Ticket> ticket, double until) override;
   void reprioritise(uint32_t node, std::shared_ptr<Ticket> ticket) override;
@@ -23,7 +24,7 @@
   void probe(uint32_t node) override;
 
  private:
-  Task follow();
+  Task run();
   bool read(Stream& stream);
   void apply(const ListEvent& event);
   void tell(uint32_t node, std::function<void(Engine&)> call);
@@ -34,7 +35,9 @@
   Signal signal_;
   Mailbox mailbox_;
   Timer timer_;
-  bool late_ = false;  // the timer has run out
+  bool late_ = false;   // the timer has run out
+  bool moved_ = false;  // the change log has another address since we last connected
+  Address changeLog_;
   FrameReader reader_;
   uint64_t last_ = 0;     // number of the last event that is known
   size_t linksEach_ = 1;  // connections that one engine should do with
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -243,10 +243,11 @@
     std::filesystem::remove_all(folder_);
   }
 
+  void configure(const std::string& text) { std::ofstream(folder_ + "/config.json") << text; }
   void start(rlim_t descriptors = 0, int log = -1) {
     char name[] = "/tmp/elmcleat-test-XXXXXX";
     if (folder_.empty()) folder_ = mkdtemp(name);
-    std::ofstream(folder_ + "/config.json") << config.dump();
+    configure(config.dump());
     pid_ = fork();
     if (pid_ == 0) {
       setenv("PROXY_CONFIG", (folder_ + "/config.json").c_str(), 1);
@@ -285,6 +286,11 @@
     text << std::ifstream(folder_ + "/log").rdbuf();
     return text.str();
   }
+  bool logs(const std::string& text) {  // before long
+    for (double end = now() + kWait / 1e3; now() < end; pause(0.01))
+      if (log().find(text) != std::string::npos) return true;
+    return false;
+  }
   std::unique_ptr<Peer> client() {
     auto made = Peer::to(listen);
     REQUIRE(made);
@@ -534,6 +540,37 @@
   CHECK_EQ(stage.service.resumed, big(3, 8));
 }
 
+TEST_CASE("SIGHUP: a new change log is followed from the last number at once; a bad file changes nothing") {
+  Stage stage;
+  auto log = stage.service.follower();
+  auto client = stage.service.client(), idle = stage.service.client();
+  client->write(post(1));
+  Line send = stage.engines.next();
+  log->write(change(2, 3, 2, stage.engines.address(0)));
+  stage.service.configure("{\"listen\":");
+  stage.service.kill(SIGHUP);
+  log->write(change(3, 3, 2, stage.engines.address(0)));
+  CHECK(stage.service.logs("configuration: the old one stays: PROXY_CONFIG"));
+  Listener other;
+  stage.service.config["changelog"] = textOf(other.address);
+  stage.service.configure(stage.service.config.dump());
+  double from = now();
+  stage.service.kill(SIGHUP);
+  CHECK(log->ended());
+  auto moved = other.accept();
+  CHECK_EQ(moved->bytes(8), big(3, 8));
+  CHECK_LT(now() - from, 1.0);
+  moved->write(change(4, 1, 1, stage.engines.address(0)));
+  moved->write(change(4, 1, 1, stage.engines.address(0)));  // told twice
+  send.hit();
+  CHECK_EQ(answer(*client), kServed);
+  idle->write(post(2));
+  Line second = stage.engines.next();
+  CHECK_EQ(second.engine, 1);
+  second.hit();
+  CHECK_EQ(answer(*idle), kServed);
+}
+
 TEST_CASE("a send whose time is up is given up by closing its connection before there is a further one") {
   // DROP alone is never heard by an engine that is cut off: there would be two sends out at once.
   Stage stage;
