--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -70,6 +70,7 @@
   config.changeLog = needAddress(file, "changelog");
   if (!readHex(file.need<std::string>("seed"), config.seed)) file.fault("seed", "must be hex digits");
   config.sockets = file.part("limits").need<size_t>("sockets");
+  config.memoryMb = file.part("limits").get<size_t>("memory_mb", 192);
   if (!file.has("known")) file.fault("known", "is missing");
   config.known = readKnown(file.part("known"));
   if (!file.has("settings")) file.fault("settings", "is missing");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -15,6 +15,7 @@
   Address listen, changeLog;
   uint64_t seed = 0;
   size_t sockets = 0;            // descriptors that the process may hold
+  size_t memoryMb = 0;           // memory that it may take
   std::vector<ListEvent> known;  // the change log's events up to now
   Settings settings;
   LinkSettings links;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -116,12 +116,12 @@
   }
 };
 
-struct Node {
+struct Node : std::enable_shared_from_this<Node> {
   uint32_t id = 0;
   std::string zone, kind;
   int cell = 0;
   double cores = 1, memoryMb = 0;
-  bool listed = false;
+  bool listed = false, gone = false;
   std::optional<double> startedAt;
   std::vector<std::shared_ptr<Cmd>> out;
   double threads = 0, memory = 0;  // of our sends there
@@ -133,6 +133,7 @@
   double restUntil = 0, restTime = kRestFirst, pause = kFullPause, wellSince = 0;
   int trials = 0, late = 0;  // answered ones; sends overdue now
   bool pressed = false, resting = false, trialOut = false;
+  bool over(double now) { return gone && out.empty() && coldWork.sum(now) + fails.sum(now) <= 0; }
 };
 
 struct KeyLine {  // commands of one key, in the order taken
@@ -160,8 +161,7 @@
   double targetAt = 0, timeoutAt = 0, worth = 0;
   double sentAt = 0, ranAt = -1;  // ranAt: first send that may have run
   Node* node = nullptr;           // where a send is out
-  Node* avoid = nullptr;          // where the last one failed
-  Node* ranOn = nullptr;          // and its node
+  std::shared_ptr<Node> avoid, ranOn;  // where the last one failed; where the first ran
   int sends = 0;
   bool held = false, over = false, streaming = false, trial = false, cancelled = false;
 };
@@ -213,10 +213,11 @@
     double guess = row->usualWork > 0 ? row->usualWork : profile.target * profile.threads / 2;
     cmd->work = std::max(arrival.work > 0 ? arrival.work * row->workRatio : guess, 1e-4);
     auto drift = [](double& mean, double value) { mean += (value - mean) * (mean > 0 ? kLearn : 1); };
-    drift(row->usualWork, cmd->work), drift(usualWork, cmd->work), drift(usualRun, cmd->run());
     cmd->memory = arrival.memoryMb * row->memoryRatio;
     cmd->targetAt = now + profile.target + profile.targetStretch * cmd->run();
     cmd->timeoutAt = now + arrival.timeLeft;
+    if (!hopeless(*cmd))  // figures that are out of all range say nothing of what is usual
+      drift(row->usualWork, cmd->work), drift(usualWork, cmd->work), drift(usualRun, cmd->run());
     taken.add(now, 1), takenInSpan.add(now, 1);
     double due = 1;
     for (auto& tenant : set.tenants)
@@ -334,14 +335,13 @@
   // --- engines
   void list(ListKind kind, const std::vector<NodeRow>& given) override {
     if (kind == ListKind::error) return askAt = now + chance.between(0.5, 1.0), wakeAt(askAt);
-    if (!listSeen && set.askForList) out.followList();
-    listSeen = true;
+    if (!std::exchange(listSeen, true) && set.askForList) out.followList();
     if (kind == ListKind::full)
-      for (auto& [id, node] : nodes) node->listed = false;
+      for (auto& [id, node] : nodes) node->listed = false, node->gone = true;
     for (auto& row : given) {
       auto& slot = nodes[row.id];
       if (!slot) {
-        slot = std::make_unique<Node>();
+        slot = std::make_shared<Node>();
         slot->id = row.id;
         for (size_t i = 0; i < rows.size(); ++i) slot->credit.push_back(chance.between(-2, 0));
         slot->coldWork = TimeRing(std::max(set.fallTime * 1.1, 0.001));
@@ -351,8 +351,9 @@
       for (auto& known : set.kinds)
         if (known.name == row.kind) node.cores = std::max(known.cores, 1.0), node.memoryMb = known.memoryMb;
       node.listed = row.state == NodeState::inService;  // rule 3: at once, whatever the grace
-      if (row.startedAt != node.startedAt) node.restUntil = std::min(node.restUntil, now);
-      node.startedAt = row.startedAt;
+      node.gone = row.state == NodeState::gone;
+      if (std::exchange(node.startedAt, row.startedAt) != row.startedAt)
+        node.restUntil = std::min(node.restUntil, now);
     }
   }
 
@@ -427,7 +428,7 @@
       if (apart && (hash < kLoadSide) != cmd.profile().load) extra += kApart;  // loads keep to their side
       if (node->credit[&cmd.row - rows.data()] < 0) extra += kOver * sparse;
       if (node->resting && evidence() >= kTrials) extra -= 1e6;  // a trial that is due is taken
-      if (node.get() == cmd.avoid) extra += 1e6;
+      if (node == cmd.avoid) extra += 1e6;
       bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
       choices[place].push_back({node.get(), load(*node) + extra, rank});
     }
@@ -495,8 +496,7 @@
   }
 
   void well(Node& node) {
-    node.resting = false, node.wellSince = now;
-    node.fails = TimeRing(kFailSpan);
+    node.resting = false, node.wellSince = now, node.fails = TimeRing(kFailSpan);
     log("node %u is back: %d trials answered", node.id, node.trials);
   }
 
@@ -581,6 +581,7 @@
   }
 
   void sweep() {
+    std::erase_if(nodes, [&](auto& it) { return it.second->over(now); });
     bool any = false;
     cores = memoryMb = listed = 0;
     for (auto& [id, node] : nodes)
@@ -598,7 +599,7 @@
     if (quotas > 0 && usualWork > 0) trafficPart = doneLong.sum(now) / span / quotas / usualWork;
     weight = std::min(1.0, kSweep * taken.sum(now) / span / kAnswers);
     sparse = std::clamp(1 - (allOks + allFails) / kFailSpan / std::max(1.0, listed) / kDense, 0.0, 1.0);
-    // Where few sends tell how a node is, it is asked: each once in a while, one probe a command at most.
+    // Where few sends tell how a node is, it is asked now and then: one probe a command at most.
     if (set.probing && sparse > 0) probes += kSweep * std::min(listed / kReportFades, taken.sum(now) / span);
     for (; probes >= 1; --probes) {
       auto next = nodes.upper_bound(lastProbed);
@@ -620,8 +621,7 @@
 
   void wakeAt(double time) {
     if (nextWake > now + kClock && nextWake <= time) return;
-    nextWake = time;
-    out.wake(time);
+    out.wake(nextWake = time);
   }
 
   void settle() override {
@@ -652,7 +652,7 @@
   bool overload = false, pressure = false, listSeen = false;
   bool loadsHold = false;  // some profile stands still while a load holds its group
   std::vector<Row> rows;
-  std::map<uint32_t, std::unique_ptr<Node>> nodes;
+  std::map<uint32_t, std::shared_ptr<Node>> nodes;
   std::map<uint64_t, KeyLine> keys;
   Turn root;
   std::vector<std::shared_ptr<Cmd>> held;
@@ -694,7 +694,7 @@
   bool ownTrial = std::exchange(trial, false);
   if (ownTrial) was.trialOut = false;
   bool ran = what != Outcome::full && what != Outcome::connectFailed && what != Outcome::unused;
-  if (ran && ranAt < 0) ranAt = sentAt, ranOn = &was;
+  if (ran && ranAt < 0) ranAt = sentAt, ranOn = was.shared_from_this();
   if (key && (what == Outcome::expired || what == Outcome::reset || what == Outcome::cancelled))
     core.keys[*key].quietUntil = core.now + core.set.keyQuiet;
   bool answered = what == Outcome::answered;
@@ -720,7 +720,7 @@
     if (double(core.answers.size()) > kAnswers) core.answers.pop_front();
   }
   core.seeReport(was, report);
-  avoid = &was;
+  avoid = was.shared_from_this();
   over |= final;
   if (over) core.close(*this);
   else core.again(*this);
--- a/src/protocol/engine_lines.cpp
+++ b/src/protocol/engine_lines.cpp
@@ -21,8 +21,11 @@
   return part;
 }
 
+// No engine has a figure beyond this, or below nothing: what says so is damaged, and the module would reckon with it.
+constexpr double kMostFigure = 1e9;
+
 bool readFigure(std::string_view text, double& value) {
-  return readNumber(text, value) && std::isfinite(value);
+  return readNumber(text, value) && std::isfinite(value) && value >= 0 && value <= kMostFigure;
 }
 
 bool readReport(std::string_view text, Report& report) {
--- a/src/protocol/engine_lines.h
+++ b/src/protocol/engine_lines.h
@@ -27,6 +27,7 @@
   static constexpr size_t kMostLine = 4 * 1024, kMostBody = 48'000;  // no page is longer than a whole result
   enum class State { more, whole, bad };
   State next(std::string& bytes, EngineAnswer& answer);
+  bool between(const std::string& bytes) const { return !inBody_ && bytes.empty(); }  // no part of an answer
 
  private:
   State readLine(std::string_view line);
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -99,7 +99,8 @@
       return bad(400);
     std::string name = lower(field.substr(0, colon));
     // Two lengths, or a field of ours twice, could be read in two ways.
-    if (request_.header(name) && (name == "content-length" || name.starts_with("req-"))) return bad(400);
+    bool single = name == "content-length" || name == "transfer-encoding" || name == "x-ram";
+    if (request_.header(name) && (single || name.starts_with("req-"))) return bad(400);
     request_.headers.emplace_back(std::move(name), value);
   }
   auto* connection = request_.header("connection");
--- a/src/protocol/http.h
+++ b/src/protocol/http.h
@@ -27,6 +27,7 @@
   State next(std::string& bytes, HttpRequest& request);
   int status() const { return status_; }
   bool between() const { return stage_ == Stage::head; }  // no part of a request has been taken
+  size_t held() const { return request_.body.capacity(); }
 
  private:
   enum class Stage { head, length, chunkSize, chunk, trailer };
--- a/src/runtime/ending.h
+++ b/src/runtime/ending.h
@@ -14,13 +14,15 @@
   overfull,      // more came, or waits to go out, than a buffer may hold
   idle,          // closed by us with nothing open on it
   silent,        // closed by us: nothing came for too long
+  cutShort,      // closed by us: a part of a message came, and the rest did not
   replaced,      // closed by us: who is there drains, is gone, or has been replaced by another
   timedOut,      // the exchange alone: its time is up
 };
 constexpr const char* nameOf(Ending ending) {
-  constexpr const char* names[] = {"none",   "refused", "connect timed out", "out of descriptors",
-                                   "closed", "reset",   "garbled",           "overfull",
-                                   "idle",   "silent",  "replaced",          "timed out"};
+  constexpr const char* names[] = {"none",     "refused", "connect timed out", "out of descriptors",
+                                   "closed",   "reset",   "garbled",           "overfull",
+                                   "idle",     "silent",  "cut short",         "replaced",
+                                   "timed out"};
   return names[static_cast<int>(ending)];
 }
 
--- a/src/serve/answer.h
+++ b/src/serve/answer.h
@@ -25,6 +25,7 @@
   bool first(EngineAnswer& answer);
   bool further(EngineAnswer& answer);
   bool begun() const { return !pages_.empty(); }
+  bool has(int page) const { return static_cast<size_t>(page) < pages_.size() && pages_[size_t(page)]; }
   bool whole() const { return begun() && missing_ == 0; }
   int pages() const { return static_cast<int>(pages_.size()); }
   std::optional<std::string> rows() const;  // none if a row can't be read
--- a/src/serve/ask.cpp
+++ b/src/serve/ask.cpp
@@ -24,10 +24,15 @@
   });
 }
 
-bool readAmount(const std::string& text, double& value) {
+// Figures beyond these limits are no estimates and no times: the module would reckon with them, and engines could
+// not use them.
+constexpr double kMostWait = 86'400e3, kMostWork = 86'400e3;  // milliseconds: a day
+constexpr double kMostMemory = 10e6, kMostEngines = 10;       // MB; in memories of the largest engine
+
+bool readAmount(const std::string& text, double most, double& value) {
   auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), value);
   return !text.empty() && fault == std::errc() && end == text.data() + text.size() && std::isfinite(value) &&
-         value >= 0 && value < 1e12;
+         !std::signbit(value) && value <= most;
 }
 
 }  // namespace
@@ -44,16 +49,22 @@
   ask.id = *id;
   double wait = 0;
   auto* left = request.header("req-wait-ms");
-  if (!left || !readAmount(*left, wait)) return refuse(400, "Req-Wait-Ms must be a time in milliseconds");
+  if (!left || !readAmount(*left, kMostWait, wait))
+    return refuse(400, "Req-Wait-Ms must be a time in milliseconds");
   ask.endsAt = came + wait / 1e3;
-  if (auto* tenant = request.header("req-owner")) ask.tenant = *tenant;
+  // Without a list of tenants all are one: a queue for each name that comes would never end.
+  if (auto* tenant = request.header("req-owner"); tenant && !settings.tenants.empty()) ask.tenant = *tenant;
   bool known = std::ranges::find(settings.tenants, ask.tenant, &Tenant::name) != settings.tenants.end();
   if (!settings.tenants.empty() && !known) return refuse(400, "Req-Owner names no tenant");
   if (auto* work = request.header("req-cost")) {
-    if (!readAmount(*work, ask.work)) return refuse(400, "Req-Cost must be a time in milliseconds");
+    if (!readAmount(*work, kMostWork, ask.work))
+      return refuse(400, "Req-Cost must be a time in milliseconds");
     ask.work /= 1e3;
   }
-  if (auto* memory = request.header("x-ram"); memory && !readAmount(*memory, ask.memoryMb))
+  double mostMemory = 0;
+  for (auto& kind : settings.kinds) mostMemory = std::max(mostMemory, kMostEngines * kind.memoryMb);
+  if (mostMemory <= 0) mostMemory = kMostMemory;
+  if (auto* memory = request.header("x-ram"); memory && !readAmount(*memory, mostMemory, ask.memoryMb))
     return refuse(400, "X-Ram must be a size in MB");
   if (auto* key = request.header("req-key")) {
     if (!isHex16(*key)) return refuse(400, "Req-Key must be 16 hex digits");
--- a/src/serve/client.cpp
+++ b/src/serve/client.cpp
@@ -9,20 +9,31 @@
 namespace {
 
 constexpr size_t kMostIn = 32 * 1024, kMostOut = 1 << 20;
-// Clients close what has been idle for 4 s; one that says nothing for twice as long, or has stopped in the
-// middle of a request, has forgotten its connection.
+// Clients close what has been idle for 4 s; one that says nothing for twice as long has forgotten its
+// connection, or holds it for good.
 constexpr double kIdle = 8;
+// Who connects has something to ask, and writes it at once: a client that is still silent by then, or in the
+// middle of a request, won't come to anything. Guards descriptors and memory against half a request, floods of
+// silent connections and endless heads. Hurts a client that is stopped for that long in mid-request.
+constexpr double kWhole = 2;
+// How long what still comes is read after the last answer, so that our close does not overtake it.
+constexpr double kLinger = 3;
+// A body of many MB is read at this pace at most, or it would take the core from all others.
+constexpr double kPace = 0.01;
+constexpr int kPaceReads = 8;
 
 }  // namespace
 
-Client::Client(Scheduler& scheduler, const Settings& settings, Desk& desk, int fd)
+Client::Client(Scheduler& scheduler, const Settings& settings, Desk& desk, Hold& hold, int fd, bool full)
     : scheduler_(scheduler),
       settings_(settings),
       desk_(desk),
+      hold_(hold),
       signal_(scheduler),
       mailbox_(signal_),
       stream_(scheduler, signal_, kMostIn, kMostOut),
-      idle_(scheduler, [this] { tooLate(); }) {
+      limit_(scheduler, [this] { tooLate(); }),
+      full_(full) {
   stream_.adopt(fd);
   idleSince_ = scheduler.now();
   task_ = run();
@@ -30,6 +41,12 @@
 
 Client::~Client() {
   if (ticket_ && !answer_) desk_.withdraw(ticket_);
+  holds(0);
+}
+
+void Client::holds(size_t bytes) {
+  hold_.sum += bytes - held_;
+  held_ = bytes;
 }
 
 // True if something came. A request counts as come with its first byte.
@@ -37,21 +54,28 @@
   size_t had = stream_.in().size();
   stream_.fill(look);
   if (stream_.in().size() == had) return false;
-  if (had == 0 && reader_.between()) cameAt_ = scheduler_.now();
+  if (had == 0 && reader_.between()) cameAt_ = scheduler_.now(), limit();
   return true;
 }
 
+// Until the next request is whole.
+void Client::limit() {
+  bool begun = !stream_.in().empty() || !reader_.between();
+  limit_.set(begun ? cameAt_ + kWhole : idleSince_ + (asked_ ? kIdle : kWhole));
+}
+
 // What the client has written, and we have not read, may be a request that is owed an answer.
 bool Client::giveWay() {
   signal_.raise();
-  unseen_ |= read(true);
+  if (!leaving_) unseen_ |= read(true);
   if (unseen_) return false;
   stream_.end(Ending::idle);
   return true;
 }
 
 void Client::tooLate() {
-  if (!busy_ && !giveWay()) return idle_.set(scheduler_.now() + kIdle);
+  bool begun = !stream_.in().empty() || !reader_.between();
+  if (!busy_ && !begun && !giveWay()) return;  // something has come after all
   stream_.end(Ending::idle);
   signal_.raise();
 }
@@ -70,33 +94,44 @@
   while (keepAlive) {
     // --- a request
     HttpRequest request;
-    idle_.set(scheduler_.now() + kIdle);
+    limit();
     HttpReader::State state;
+    bool tooMuch = full_;
     while (true) {
       read();
       unseen_ = false;
       state = reader_.next(stream_.in(), request);
+      holds(stream_.in().capacity() + reader_.held() + request.body.capacity());
       if (state == HttpReader::State::whole || state == HttpReader::State::bad) break;
+      if (hold_.sum > hold_.most && !reader_.between()) {  // a body that has no room: it is not kept
+        tooMuch = true;
+        break;
+      }
       if (state == HttpReader::State::continues)
         stream_.write("HTTP/1.1 100 Continue\r\n\r\n"), stream_.flush();
       if (!stream_.open()) break;
       if (stream_.cutShort() || state == HttpReader::State::continues) continue;
       co_await signal_;
     }
-    idle_.clear();
+    limit_.clear();
     if (!stream_.open()) break;  // nobody is there to be answered
-    busy_ = true;
+    busy_ = asked_ = true;
+    bool now = true;  // answered without the desk
 
     // --- its answer
     std::string bytes;
     if (state == HttpReader::State::bad) {
       keepAlive = false;
       bytes = problem(reader_.status(), "malformed or too large", false);
+    } else if (tooMuch) {
+      keepAlive = false;
+      bytes = httpAnswer({Answer::Kind::shed, {}, 0}, false);
     } else {
       keepAlive = request.keepAlive;
-      if (auto now = serve(std::move(request))) {
-        bytes = std::move(*now);
+      if (auto at = serve(std::move(request))) {
+        bytes = std::move(*at);
       } else {
+        now = false;
         while (!answer_ && !dismissed_ && stream_.open()) {
           co_await signal_;
           mailbox_.drain();
@@ -108,20 +143,32 @@
       }
     }
     stream_.write(std::move(bytes));
-    idle_.set(scheduler_.now() + kIdle);
+    limit_.set(scheduler_.now() + kIdle);
     for (stream_.flush(); stream_.open() && !stream_.drained(); stream_.flush()) co_await signal_;
     busy_ = false;
     cameAt_ = idleSince_ = scheduler_.now();  // of a next request that has come already
+    holds(stream_.in().capacity());
     done_();
+    if (now && !stream_.in().empty()) co_await signal_.others();  // who asks at full speed takes turns
   }
   // What the client still sends is read until it closes: unread bytes would turn our close into a reset, and
   // that may overtake the answer.
+  // Nothing of it is kept, and others have their turns between.
   stream_.shutDown();
-  idle_.set(scheduler_.now() + kIdle);
+  limit_.set(scheduler_.now() + kLinger);
+  leaving_ = true, unseen_ = false;
+  reader_ = {};
+  holds(0);
+  bool due = true;
+  Timer pace(scheduler_, [&] { due = true, signal_.raise(); });
   while (stream_.open()) {
-    stream_.fill();
-    stream_.in().clear();
-    if (stream_.open() && !stream_.cutShort()) co_await signal_;
+    for (int i = 0; due && i < kPaceReads; ++i) {
+      stream_.fill();
+      stream_.in().clear();
+      if (!stream_.cutShort()) break;
+    }
+    if (due && stream_.cutShort()) due = false, pace.set(scheduler_.now() + kPace);
+    if (stream_.open()) co_await signal_;
   }
   if (ticket_) desk_.withdraw(std::exchange(ticket_, nullptr));
   busy_ = false;
--- a/src/serve/desk.cpp
+++ b/src/serve/desk.cpp
@@ -127,11 +127,10 @@
   if (Asker* asker = std::exchange(ticket.asker, nullptr)) asker->answer(std::move(answer));
 }
 
-// Forgets a command that is over and has nothing out.
+// Forgets a command that is over and has nothing out. Until then its id stays taken: under it engines and we
+// would mistake one send for the other.
 void Desk::sweep(const std::shared_ptr<Ticket>& ticket) {
-  if (!ticket->over) return;
-  ids_.erase(ticket->ask.id);
-  if (!ticket->out) tickets_.erase(ticket->command.get());
+  if (ticket->over && !ticket->out && tickets_.erase(ticket->command.get())) ids_.erase(ticket->ask.id);
 }
 
 }  // namespace elmcleat
--- a/src/serve/desk.h
+++ b/src/serve/desk.h
@@ -68,7 +68,7 @@
   std::unique_ptr<Gateway> gateway_;
   std::unordered_map<const Command*, std::shared_ptr<Ticket>> tickets_;
   std::unordered_map<const Command*, uint32_t> out_;              // where the send is that has no outcome
-  std::unordered_map<std::string, std::shared_ptr<Ticket>> ids_;  // of commands in hand
+  std::unordered_map<std::string, std::shared_ptr<Ticket>> ids_;  // of the same
   std::vector<std::shared_ptr<Ticket>> overNow_;                  // ended by the module in this batch
   Task task_;
 };
--- a/src/serve/door.cpp
+++ b/src/serve/door.cpp
@@ -17,6 +17,15 @@
 // later than 0.7 s is owed nothing.
 constexpr double kComing = 0.7;
 constexpr double kPause = 0.02;  // until accepting is tried again without a descriptor
+// Descriptors for the list, the listener, the log and the like, and for clients that are turned away.
+constexpr size_t kOwn = 8, kTurnedAway = 8, kLeast = 16;
+
+// Usual clients hold a third of the descriptors at most; a third, and our own, are kept from all clients, so that
+// a flood of them leaves the engines theirs.
+size_t mostClients(size_t sockets) {
+  size_t kept = sockets / 3 + kOwn + kTurnedAway;
+  return std::max(sockets > kept ? sockets - kept : 0, kLeast);
+}
 
 }  // namespace
 
@@ -24,6 +33,8 @@
     : scheduler_(scheduler),
       config_(config),
       desk_(desk),
+      most_(mostClients(config.sockets)),
+      hold_{config.memoryMb * (1 << 20) / 4},
       signal_(scheduler),
       again_(scheduler, [this] { signal_.raise(); }),
       leaving_(scheduler, [this] {
@@ -46,9 +57,17 @@
 Task Door::run() {
   while (true) {
     while (listener_) {
+      if (clients_.size() >= most_ + kTurnedAway) {
+        co_await signal_.others();  // those that are closed leave
+        if (clients_.size() >= most_ + kTurnedAway) {
+          again_.set(scheduler_.now() + kPause);
+          break;
+        }
+      }
       int fd = ::accept4(listener_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd >= 0) {
-        admit(fd);
+        bool full = clients_.size() >= most_ && !makeRoom();
+        admit(fd, full);
       } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
         if (makeRoom()) continue;
         warn() << "door: no descriptor for a connection: " << std::strerror(errno);
@@ -66,19 +85,21 @@
 }
 
 // The first read is made at once, before the next connection is accepted.
-void Door::admit(int fd) {
-  auto client = std::make_shared<Client>(scheduler_, config_.settings, desk_, fd);
+void Door::admit(int fd, bool full) {
+  auto client = std::make_shared<Client>(scheduler_, config_.settings, desk_, hold_, fd, full);
   Client* who = client.get();
   who->tell([this] { endIfDone(); }, [this, who] { over(who); });
   clients_.emplace(who, std::move(client));
   who->start();
 }
 
+// First who has connected and said nothing, or nothing whole; then who has been idle for longest.
 bool Door::makeRoom() {
   std::vector<Client*> idle;
   for (auto& [client, held] : clients_)
     if (client->idle()) idle.push_back(client);
-  std::ranges::sort(idle, {}, &Client::idleSince);
+  std::ranges::sort(idle, {},
+                    [](Client* client) { return std::pair(client->hasAsked(), client->idleSince()); });
   return std::ranges::any_of(idle, [](Client* client) { return client->giveWay(); });
 }
 
--- a/src/serve/door.h
+++ b/src/serve/door.h
@@ -17,14 +17,16 @@
 
  private:
   Task run();
-  void admit(int fd);
-  bool makeRoom();  // closes the connection that has waited longest for a whole request
+  void admit(int fd, bool full);
+  bool makeRoom();  // closes the connection that is least likely to ask
   void over(Client* client);
   void endIfDone();
 
   Scheduler& scheduler_;
   const Config& config_;
   Desk& desk_;
+  const size_t most_;  // connections of clients
+  Hold hold_;
   Signal signal_;
   Timer again_;    // accepting goes on after a pause for want of descriptors
   Timer leaving_;  // no more clients come
--- a/src/serve/engine.cpp
+++ b/src/serve/engine.cpp
@@ -12,11 +12,14 @@
 
 constexpr size_t kMostIn = 64 * 1024;  // more than the longest answer
 constexpr size_t kMostOut = 1 << 20;   // statements that wait for an engine that does not read
+constexpr int kMostStrays = 64;        // late answers, and a few beside a good one that belong to nothing
 
 }  // namespace
 
 Engine::Link::Link(Scheduler& scheduler, Signal& signal, std::function<void()> late)
-    : stream(scheduler, signal, kMostIn, kMostOut), timer(scheduler, std::move(late)) {}
+    : stream(scheduler, signal, kMostIn, kMostOut),
+      timer(scheduler, std::move(late)),
+      rest(scheduler, [this, &signal] { stream.end(Ending::cutShort), signal.raise(); }) {}
 
 Engine::Engine(Scheduler& scheduler, const LinkSettings& settings, Desk& desk, uint32_t id,
                const size_t& most)
@@ -137,7 +140,7 @@
     auto& limit = link.probes[tag];
     limit = std::make_unique<Timer>(scheduler_, [this, &link, tag] {
       link.probes.erase(tag);
-      link.dropped[tag] = scheduler_.now();
+      drop(link, tag);
       desk_.probed(id_, Outcome::expired, {});
       rest(link);
     });
@@ -228,6 +231,7 @@
     for (auto& [tag, limit] : link.probes) link.stream.write(engine_line::probe(tag, settings_.reports));
     rest(link);
   }
+  bool news = false;  // a whole answer came
   do {
     size_t had = link.stream.in().size();
     link.stream.fill();
@@ -235,12 +239,26 @@
     EngineAnswer answer;
     EngineReader::State state;
     while ((state = link.reader.next(link.stream.in(), answer)) == EngineReader::State::whole) {
+      news = true;
       heed(link, answer);
       if (link.stream.ending() == Ending::garbled) return;
     }
     if (state == EngineReader::State::bad) link.stream.end(Ending::garbled);
   } while (link.stream.open() && link.stream.cutShort());
   link.stream.flush();
+  expect(link, news);
+}
+
+// The rest of an answer, and pages that lie ready, come at once or never: after the time in which a connection
+// has to come up, this one is of no further use. Guards against answers that stop short or break off without a
+// close. Hurts an engine, or a network, that stands still for that long in the middle of an answer.
+void Engine::expect(Link& link, bool news) {
+  bool owed = !link.reader.between(link.stream.in()) || std::ranges::any_of(link.sends, [](auto& held) {
+    return held.second->pages.begun() && !held.second->givenUp;
+  });
+  if (!owed || !link.stream.open()) link.rest.clear();
+  else if (!link.owed || news) link.rest.set(scheduler_.now() + settings_.connectTimeout);
+  link.owed = owed;
 }
 
 void Engine::lost(Link& link) {
@@ -266,10 +284,12 @@
     return rest(link);
   }
   auto found = link.sends.find(answer.id);
-  if (found == link.sends.end()) {
-    if (!link.dropped.contains(answer.id)) link.stream.end(Ending::garbled);
+  if (found ==
+      link.sends.end()) {  // to nothing asked, or a second copy: it harms nothing, unless they never end
+    if (++link.strays > kMostStrays) link.stream.end(Ending::garbled);
     return;
   }
+  link.strays = 0;
   Send& send = *found->second;
   if (send.givenUp) return;  // it crossed our word
   switch (answer.word) {
@@ -290,6 +310,7 @@
 
 void Engine::heedPage(Link& link, Send& send, EngineAnswer& answer) {
   bool first = answer.word == Word::answered;
+  if (first ? send.pages.begun() : send.pages.has(answer.page)) return;  // a second copy
   if (!(first ? send.pages.first(answer) : send.pages.further(answer)))
     return link.stream.end(Ending::garbled);
   const std::string& id = send.ticket->ask.id;
@@ -325,8 +346,7 @@
     return link.stream.end(Ending::timedOut);
   }
   link.stream.write(send.pages.begun() ? engine_line::close(id) : engine_line::drop(id));
-  std::erase_if(link.dropped, [&](auto& it) { return it.second < now - settings_.idle; });
-  link.dropped[id] = now;
+  drop(link, id);
   if (send.ticket->over || now >= send.ticket->ask.endsAt)
     return finish(link, send, what);  // no further send
   send.givenUp = what;
@@ -335,6 +355,12 @@
     link.timer.set(now + std::max(settings_.connectTimeout, 2 * settings_.noteEvery));
 }
 
+void Engine::drop(Link& link, const std::string& id) {
+  double now = scheduler_.now();
+  std::erase_if(link.dropped, [&](auto& it) { return it.second < now - settings_.idle; });
+  link.dropped[id] = now;
+}
+
 void Engine::heard(Link& link) {
   quietSince_ = scheduler_.now();
   if (!std::exchange(link.doubted, false)) return;
@@ -348,8 +374,10 @@
   auto node = link.sends.extract(send.ticket->ask.id);
   --sends_;
   double took = scheduler_.now() - send.sentAt;
-  if (what != Outcome::answered)
+  if (what != Outcome::answered) {
     debug() << name() << ": send of " << send.ticket->ask.id << " ended after " << took << " s";
+    drop(link, send.ticket->ask.id);  // a further send of it goes elsewhere, should this answer have a copy
+  }
   desk_.ended(send.ticket, what, took, bill, report, std::move(rows));
   rest(link);
 }
--- a/src/serve/engine.h
+++ b/src/serve/engine.h
@@ -49,18 +49,22 @@
     Stream stream;
     EngineReader reader;
     Timer timer;  // the connection's own: it must come up, or be heard, in time, and is closed when idle
+    Timer rest;   // what has been begun, or asked for and lies ready, must come in time
+    bool owed = false;  // and some of it has not
+    int strays = 0;     // answers to nothing asked, since the last one to something
     bool up = false;
     bool old = false;      // takes nothing new
     bool doubted = false;  // a send was given up and nothing has come since
     std::map<std::string, std::unique_ptr<Send>, std::less<>> sends;
     std::map<std::string, std::unique_ptr<Timer>, std::less<>> probes;  // by tag; each with its time limit
-    std::map<std::string, double, std::less<>> dropped;  // given up when: an answer may have crossed the word
+    std::map<std::string, double, std::less<>> dropped;                 // ended when: an answer may come yet
   };
 
   Task run();
   void serve(Link& link);
   void heed(Link& link, EngineAnswer& answer);
   void heedPage(Link& link, Send& send, EngineAnswer& answer);
+  void expect(Link& link, bool news);
   void lost(Link& link);
 
   Link& linkFor(const Ticket& ticket);
@@ -69,6 +73,7 @@
   void late(Link& link);
   void write(Link& link, Send& send);
   void giveUp(Link& link, Send& send, Outcome what);
+  void drop(Link& link, const std::string& id);
   void heard(Link& link);
   void doubt();
   void finish(Link& link, Send& send, Outcome what, std::optional<Bill> bill = {},
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -165,7 +165,8 @@
   Desk desk(loop.scheduler, settings, 1);
   int ends[2];
   REQUIRE_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
-  Client client(loop.scheduler, settings, desk, ends[0]);
+  Hold hold{1 << 20};
+  Client client(loop.scheduler, settings, desk, hold, ends[0]);
   client.tell([] {}, [] {});
   client.start();
   REQUIRE_EQ(::write(ends[1], "GET /check HTTP/1.1\r\n\r\n", 23), 23);
@@ -225,8 +226,8 @@
       told.str(),
       "refused: connectFailed, reset; connect timed out: connectFailed, reset; out of descriptors: unused, "
       "reset; closed: connectFailed, reset; reset: connectFailed, reset; garbled: connectFailed, reset; "
-      "overfull: connectFailed, reset; idle: connectFailed, reset; silent: connectFailed, reset; replaced: "
-      "unused, reset; timed out: unused, expired; ");
+      "overfull: connectFailed, reset; idle: connectFailed, reset; silent: connectFailed, reset; cut short: "
+      "connectFailed, reset; replaced: unused, reset; timed out: unused, expired; ");
   told.str("");
   for (auto word : {Word::answered, Word::full, Word::error, Word::over, Word::well, Word::sick})
     told << outcomeName(outcomeOf(word)) << " ";
@@ -281,6 +282,9 @@
   CHECK_EQ(status({{"req-cost", "-"}, {"x-ram", "-"}, {"req-key", "-"}}), 0);
   CHECK_EQ(status({{"req-token", "-"}}, "/do/quick"), 0);
   CHECK_EQ(status({}, "/do/other"), 404);
+  settings.kinds = {{"std", 8, 9}};
+  CHECK_EQ(status({}), 400);  // more than ten times what the largest engine has
+  settings.kinds.clear();
   for (auto name : {"req-id", "req-wait-ms", "req-owner", "req-token"}) CHECK_EQ(status({{name, "-"}}), 400);
   for (auto& [name, value] :
        std::initializer_list<std::pair<const char*, const char*>>{{"req-id", "xyz"},
@@ -291,6 +295,11 @@
                                                                   {"req-owner", "nobody"},
                                                                   {"req-cost", "1x"},
                                                                   {"req-cost", ""},
+                                                                  {"req-cost", "-0"},
+                                                                  {"req-cost", "1e11"},
+                                                                  {"req-wait-ms", "1e11"},
+                                                                  {"x-ram", "1e8"},
+                                                                  {"x-ram", "-96"},
                                                                   {"x-ram", "inf"},
                                                                   {"req-key", "1"},
                                                                   {"req-token", "a b"},
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -404,3 +404,31 @@
     CHECK_EQ(scene.sent[2] > 0, !probing);
   }
 }
+
+TEST_CASE("who has gone is forgotten: under its id another starts afresh") {
+  Scene scene(Scene::site());
+  scene.nodes({1, 2});
+  for (int i = 0; i < 8; ++i) {  // node 1 fails until it rests
+    scene.take(numbered("c", i), "quick", 0.1, "north", uint64_t(i));
+    scene.ends(numbered("c", i), scene.at[numbered("c", i)] == 1 ? Outcome::error : Outcome::answered, 0.1,
+               true);
+  }
+  scene.to(scene.now + 0.2);
+  REQUIRE_NE(scene.trace.str().find("node 1 rests"), std::string::npos);
+  scene.nodes({1}, NodeState::gone, {}, ListKind::changes);
+  scene.to(scene.now + 6);
+  scene.nodes({1}, NodeState::inService, {}, ListKind::changes);
+  scene.sent.clear();
+  for (int i = 0; i < 8; ++i) scene.take(numbered("d", i), "quick", 0.1, "north", uint64_t(i));
+  CHECK_GT(scene.sent[1], 1);  // no trials, one at a time
+}
+
+TEST_CASE("a figure out of all range says nothing of what is usual") {
+  Scene scene(Scene::site());
+  scene.nodes({1});
+  scene.take("usual", "quick", 0.1);
+  scene.ends("usual", Outcome::answered, 0.1);
+  for (int i = 0; i < 20; ++i) scene.take(numbered("odd", i), "quick", 80000);
+  scene.take("unknown", "quick", 0);  // without an estimate it counts as usual
+  CHECK_EQ(scene.at.count("unknown"), 1);
+}
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -26,6 +26,11 @@
 namespace {
 
 constexpr int kWait = 8000;  // ms; far more than anything here takes, sanitized too
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool kSanitized = true;
+#else
+constexpr bool kSanitized = false;
+#endif
 
 double now() {
   return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
@@ -272,6 +277,12 @@
     FAIL("the program does not listen");
   }
   void kill(int signal) { ::kill(pid_, signal); }
+  long peakMb() const {  // the most memory it has held
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string word; file >> word;)
+      if (long kb = 0; word == "VmHWM:" && file >> kb) return kb / 1024;
+    return -1;
+  }
   int status() {  // of its end: the exit status, or 1000 and the signal that ended it
     for (double end = now() + kWait / 1e3; now() < end; pause(0.005)) {
       int status = 0;
@@ -656,7 +667,7 @@
   auto client = stage.service.client();
   int id = 0;
   for (auto nonsense :
-       {"garbled\r\n", "ffff HIT - 0\r\n\r\n", "ffff HIT - 99999\r\n", "%s PART fetch_no=1 0\r\n\r\n",
+       {"garbled\r\n", "%s HIT effort=-1 0\r\n\r\n", "ffff HIT - 99999\r\n", "%s PART fetch_no=1 0\r\n\r\n",
         "%s HIT fetches=1 2\r\nab\r\n", "%s PONG - 0\r\n\r\n"}) {
     ++id;
     client->write(post(id, "quick", 6000, "", "SELECT 1 FROM sales_" + std::to_string(id) + ".t"));
@@ -671,6 +682,137 @@
   CHECK_NE(stage.service.log().find("connection ended: garbled"), std::string::npos);
 }
 
+TEST_CASE("a good answer stays good with a second copy, or one to nothing asked, beside it") {
+  Stage stage(1);
+  auto client = stage.service.client();
+  client->write(post(1));
+  Line send = stage.engines.next();
+  std::string stray = "ffff HIT fetches=3 6\r\nx\ty\tz\n\r\n",
+              first = send.id + " HIT fetches=2 6\r\na\tb\tc\n\r\n",
+              page = send.id + " PART fetch_no=1 6\r\nd\te\tf\n\r\n";
+  send.from->write(stray + first + first);
+  CHECK_EQ(stage.engines.next().verb, "PAGE");
+  send.from->write(stray + page + page + first);
+  CHECK_EQ(answer(*client), R"(200 {"records":[["a","b","c"],["d","e","f"]]})");
+  CHECK_EQ(stage.engines.next().verb, "CLOSE");
+  client->write(post(2));
+  Line again = stage.engines.next();
+  CHECK_EQ(again.from, send.from);  // the connection is still good
+  again.hit();
+  CHECK_EQ(answer(*client), kServed);
+  std::string endless;
+  for (int i = 0; i < 100; ++i) endless += stray;
+  send.from->write(endless);
+  CHECK(send.from->ended());
+}
+
+TEST_CASE("an answer that stops short, and a page that never comes, end their connection at once") {
+  Stage stage;
+  auto client = stage.service.client();
+  int id = 0;
+  for (auto part : {"%s HI", "%s HIT fetches=1 600\r\na\tb", "%s HIT fetches=2 6\r\na\tb\tc\n\r\n"}) {
+    ++id;
+    client->write(post(id, "quick", 6000, "", "SELECT 1 FROM sales_" + std::to_string(id) + ".t"));
+    Line send = stage.engines.next();
+    double from = now();
+    std::string text = part;
+    send.from->write(text.replace(0, 2, send.id));
+    while (send.from->more()) send.from->in.clear();  // it may ask for a page
+    CHECK(send.from->ended());
+    CHECK_MESSAGE(now() - from < 0.6, part);  // far sooner than its time-out
+    Line further = stage.engines.next();
+    CHECK_EQ(further.id, idOf(id));
+    further.hit();
+    CHECK_MESSAGE(answer(*client) == kServed, part);
+  }
+  CHECK(stage.service.logs("connection ended: cut short"));
+}
+
+TEST_CASE("who says nothing, or half a request, is closed within 3 s; who has asked may stay idle longer") {
+  Stage stage(1);
+  auto asked = stage.service.client(), silent = stage.service.client(), half = stage.service.client(),
+       body = stage.service.client(), noise = stage.service.client();
+  asked->write("GET /check HTTP/1.1\r\n\r\n");
+  CHECK_EQ(answer(*asked), "200 {}");
+  double from = now();
+  half->write("POST /do/qu");
+  body->write(post(1).substr(0, post(1).size() - 3));
+  noise->write("\x16\x03\x01\x02");
+  pause(1);
+  for (auto* one : {&half, &noise}) (*one)->write("x");  // drop by drop is not sooner whole
+  for (auto* one : {&silent, &half, &body, &noise}) CHECK((*one)->ended());
+  CHECK_LT(now() - from, 3.0);
+  pause(1.5);
+  asked->write("GET /check HTTP/1.1\r\n\r\n");
+  CHECK_EQ(answer(*asked), "200 {}");
+}
+
+TEST_CASE("a flood of clients leaves room for usual ones, and the engines theirs") {
+  Stage stage(1, 96);  // 48 of them for clients
+  std::list<std::unique_ptr<Peer>> flood;
+  for (int i = 0; i < 200; ++i) flood.push_back(stage.service.client());
+  auto client = stage.service.client();
+  client->write(post(1));
+  stage.engines.next().hit();
+  CHECK_EQ(answer(*client), kServed);
+  size_t open = 0;
+  for (auto& one : flood) {
+    pollfd ended{one->fd(), POLLIN, 0};
+    open += poll(&ended, 1, 0) == 0;
+  }
+  CHECK_LE(open, 56);
+
+  // All of them with a command in hand: who comes then is turned away, and may try again.
+  flood.clear();
+  std::list<Line> sends;
+  for (int i = 0; i < 48; ++i) {
+    flood.push_back(stage.service.client());
+    flood.back()->write(post(100 + i, "once"));
+    pause(0.002);
+  }
+  client = stage.service.client();
+  client->write(post(2));
+  CHECK_EQ(answer(*client), kBusy);
+  CHECK(client->ended());
+}
+
+TEST_CASE("a body beyond all measure is refused from its head, and what comes of it is not kept") {
+  Stage stage(1);
+  auto client = stage.service.client(), other = stage.service.client();
+  client->write("POST /do/quick HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n");
+  CHECK_EQ(answer(*client).substr(0, 3), "413");
+  std::string part(1 << 20, 'x');
+  for (int i = 0; i < 20; ++i) client->write(part);
+  other->write(post(1));
+  stage.engines.next().hit();
+  CHECK_EQ(answer(*other), kServed);
+  CHECK_LT(stage.service.peakMb(), kSanitized ? 1000 : 32);
+  // Two lengths may conceal a request: nothing of it goes on.
+  auto smuggler = stage.service.client();
+  std::string hidden = post(2);
+  smuggler->write("POST /do/quick HTTP/1.1\r\nContent-Length: " + std::to_string(hidden.size() + 5) +
+                  "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden);
+  CHECK_EQ(answer(*smuggler).substr(0, 3), "400");
+  CHECK(smuggler->ended());
+  CHECK_EQ(stage.engines.next(100).verb, "");
+}
+
+TEST_CASE("an id stays taken until nothing of it is out") {
+  Stage stage(1);
+  auto client = stage.service.client(), other = stage.service.client();
+  client->write(post(1));
+  Line send = stage.engines.next();
+  client->close();
+  pause(0.05);
+  other->write(post(1));
+  CHECK_EQ(answer(*other).substr(0, 3), "409");
+  send.hit();
+  pause(0.05);
+  other->write(post(1));
+  stage.engines.next().hit();
+  CHECK_EQ(answer(*other), kServed);
+}
+
 TEST_CASE("bad input from a client is answered 4xx and harms nobody else") {
   Stage stage(1);
   auto good = stage.service.client();
