--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -49,7 +49,7 @@
 constexpr double kQuiet = 0.5, kTrials = 3;  // nothing is overdue sooner; failures to blame, trials to clear
 constexpr double kFurther = 2, kTimeoutRuns = 3;  // further sends of a command; a time-out, in usual runs
 constexpr double kBacklog = 0.2, kOverloadHold = 0.5;  // part of the slack for the backlog; overload lasts on
-constexpr double kTooLate = 0.8;  // part of the run at rest that must still fit before target or end
+constexpr double kTooLate = 0.8, kGroups = 64;  // part of the run at rest that must fit; queues of loads
 
 // --- types
 struct Core;
@@ -223,6 +223,8 @@
     for (auto& tenant : set.tenants)
       if (tenant.name == arrival.tenant) due = std::max(tenant.share * double(set.tenants.size()), 0.01);
     cmd->leaf = &root.child(arrival.tenant, due).child(profile.name, 1);
+    if (profile.load)  // one more name: who waits for its group on all nodes holds up no other group
+      cmd->leaf = &cmd->leaf->child(std::to_string(cmd->tables % uint64_t(kGroups)), 1);
     if (cmd->key) keys[*cmd->key].line.push_back(cmd);
     else hold(*cmd, false);
     held.push_back(cmd);
@@ -289,8 +291,8 @@
     if (overload || cmd.sends > kFurther || cmd.sends >= set.maxSends || cmd.streaming) return false;
     if (now + cmd.atRest() > cmd.timeoutAt || worthNow(cmd) <= 0) return false;
     if (cmd.ranAt >= 0 && profile.effect == Effect::nonReplayable) return false;
-    bool known = profile.effect != Effect::uniqued || now < cmd.ranAt + profile.memorySpan;
-    if (cmd.ranAt >= 0 && !known) return false;
+    if (cmd.ranAt >= 0 && profile.effect == Effect::uniqued && now >= cmd.ranAt + profile.memorySpan)
+      return false;
     double budget = set.furtherFree + set.furtherShare * takenInSpan.surely(now);  // to the safe side
     return set.furtherSpan <= 0 || further.sum(now) + 1 <= budget;
   }
@@ -319,9 +321,7 @@
   void learn(Cmd& cmd, double took, const Bill* bill) {
     Row& row = cmd.row;
     if (bill && bill->work > 0) {
-      auto toward = [](double& ratio, double seen) {
-        ratio *= std::pow(std::clamp(seen, 0.1, 10.0), kLearn);
-      };
+      auto toward = [](double& ratio, double seen) { ratio *= std::pow(std::clamp(seen, .1, 10.), kLearn); };
       if (cmd.estimate > 0) toward(row.workRatio, bill->work / cmd.estimate / row.workRatio);
       double raw = cmd.estimateMb * row.memoryRatio;  // by the ratio of now: an old one would swing up
       if (bill->memoryMb > 0 && raw > 0) toward(row.memoryRatio, bill->memoryMb / raw);
@@ -449,9 +449,8 @@
   }
 
   double timeout(const Cmd& cmd, const Node& node) const {
-    const Profile& profile = cmd.profile();
     bool last = cmd.sends > kFurther || cmd.sends >= set.maxSends;  // counted after this send
-    if (profile.effect == Effect::nonReplayable || last) return 0;
+    if (cmd.profile().effect == Effect::nonReplayable || last) return 0;
     double usual = cmd.atRest() * std::clamp(node.stretch, 1.0, kRatioCap);
     if (set.cancel) return kTimeoutRuns * usual + 2 * kSweep;   // it frees the node: a bad plan is cut
     if ((overload || node.pressed) && !node.resting) return 0;  // it would run on beside its successor
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -432,3 +432,15 @@
   scene.take("unknown", "quick", 0);  // without an estimate it counts as usual
   CHECK_EQ(scene.at.count("unknown"), 1);
 }
+
+TEST_CASE("a load whose group is busy on all nodes holds up no load of another group") {
+  auto site = Scene::site();
+  site.profiles[2].load = true;
+  Scene scene(site);
+  scene.nodes({1, 2});
+  for (int i = 0; i < 4; ++i) scene.take(numbered("same", i), "load", 1, "north", 1);
+  scene.take("other", "load", 1, "north", 2);
+  scene.to(scene.now + 0.5);
+  CHECK_EQ(scene.at.count("same1") + scene.at.count("same2"), 1);  // the group is held on both nodes
+  CHECK_EQ(scene.at.count("other"), 1);
+}
