--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -486,8 +486,8 @@
   }
 
   // --- sweeps
-  void rest(Node& node, const char* why, double is, double bar) {
-    if (!node.resting) --listed, ++resting, log("node %u rests: %s (%.2f against %.2f)", node.id, why, is, bar);
+  void rest(Node& node, const char* of, double is, double at) {
+    if (!node.resting) --listed, ++resting, log("node %u rests: %s (%.2f against %.2f)", node.id, of, is, at);
     bool relapse = node.resting || now < node.wellSince + kRestLast;
     double longest = kRestLast * kTrials / evidence();  // a trial is dear where few sends come to one node
     node.restTime = relapse ? std::min(node.restTime * 2, longest) : kRestFirst;
@@ -661,7 +661,7 @@
   TimeRing taken{20}, done{3}, doneLong{20}, further{1}, takenInSpan{1};
   double quotas = 0, trafficPart = 0;          // of all tenants, commands a second; our part of their work
   double usualRun = 0, usualWork = 0;          // means over all commands
-  double cores = 0, memoryMb = 0, listed = 0, resting = 0;  // of listed nodes; but for the last, who don't rest
+  double cores = 0, memoryMb = 0, listed = 0, resting = 0;  // of listed nodes; the last: who rest
   double threads = 0, memory = 0, usualMemory = 0;              // of our sends there
   double allFails = 0, allOks = 0, lateTook = 0, lateRest = 0;  // and what became of them
   double probes = 0;                                            // due
