--- a/src/serve/engine.cpp
+++ b/src/serve/engine.cpp
@@ -109,6 +109,15 @@
   send.place = link.stream.write(engine_line::send(
       {ask.id, ask.profile, ask.token, ask.statement, send.until - scheduler_.now(), send.ticket->priority}));
   link.timer.clear();
+  listen(send);
+}
+
+// Notes on every send come at a set pace. One on which two have failed to come has lost its answer, or its engine:
+// it is given up then, and not only at its time-out, which may be the client's. Guards against answers that never
+// come, come after their time, or were read by nobody. Hurts where an engine is too busy to write its notes.
+void Engine::listen(Send& send) {
+  if (settings_.noteEvery > 0)
+    send.unheard.set(scheduler_.now() + 2 * settings_.noteEvery + settings_.connectTimeout);
 }
 
 std::pair<Engine::Link*, Engine::Send*> Engine::find(const Ticket& ticket) {
@@ -292,6 +301,7 @@
   link.strays = 0;
   Send& send = *found->second;
   if (send.givenUp) return;  // it crossed our word
+  listen(send);
   switch (answer.word) {
     case Word::note:
       if (answer.topic) desk_.noted(send.ticket, *answer.topic, answer.level);
@@ -336,6 +346,7 @@
   if (send.givenUp) return finish(link, send, *send.givenUp);  // heard or not, its client has gone
   if (!send.place || link.stream.withdraw(*send.place))
     return finish(link, send, outcomeOf(Ending::timedOut, false));
+  send.unheard.clear();
   const std::string id = send.ticket->ask.id;
   double now = scheduler_.now();
   debug() << name() << ": gives up " << id << " after " << now - send.sentAt << " s";
--- a/src/serve/engine.h
+++ b/src/serve/engine.h
@@ -36,13 +36,15 @@
  private:
   struct Link;
   struct Send {  // a command's send, from the desk's word to its outcome
-    Send(Scheduler& scheduler, std::function<void()> late) : deadline(scheduler, std::move(late)) {}
+    Send(Scheduler& scheduler, std::function<void()> late)
+        : deadline(scheduler, late), unheard(scheduler, late) {}
     std::shared_ptr<Ticket> ticket;
     double sentAt = 0, until = 0;
     std::optional<uint64_t> place;   // in the stream; none while the connection comes up
     std::optional<Outcome> givenUp;  // the engine was told, but may not have heard it
     Gathering pages;
     Timer deadline;
+    Timer unheard;  // notes on it, or its answer, have been due for too long
   };
   struct Link {  // one connection
     Link(Scheduler& scheduler, Signal& signal, std::function<void()> late);
@@ -65,6 +67,7 @@
   void heed(Link& link, EngineAnswer& answer);
   void heedPage(Link& link, Send& send, EngineAnswer& answer);
   void expect(Link& link, bool news);
+  void listen(Send& send);
   void lost(Link& link);
 
   Link& linkFor(const Ticket& ticket);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -604,6 +604,28 @@
   CHECK(silent.from->ended());
 }
 
+TEST_CASE("a send on which the notes that are due do not come is given up; one with notes is not") {
+  Engines engines(2);
+  Service service(engines, 2);
+  service.config["settings"]["specifics"]["progressPaceUs"] = 100000;
+  service.start(), service.ready();
+  auto client = service.client(), other = service.client();
+  client->write(post(1, "load", 8000, kToken));  // its own time-out is the client's, but for a few seconds
+  Line lost = engines.next();
+  double from = now();
+  other->write(post(2, "once", 8000));
+  Line slow = engines.next();
+  for (int i = 0; i < 10; ++i) {
+    pause(0.1);
+    slow.answer("INFO", "tell=pct,figure=0.4");
+  }
+  CHECK(lost.from->ended());
+  CHECK_EQ(answer(*client), kFailed);  // the engines remember a repeat for 1 ms: no further send
+  CHECK_LT(now() - from, 2.0);
+  slow.hit();
+  CHECK_EQ(answer(*other), kServed);
+}
+
 TEST_CASE("the next command of a key waits until the one before is given up for sure") {
   Stage stage(1, 5);  // descriptors for one connection to the engine, were they to share it
   auto other = stage.service.client(), one = stage.service.client(), two = stage.service.client();
