--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -44,8 +44,8 @@
 constexpr double kReportFades = 3, kSweep = 0.05, kClock = 1e-6;  // and each node is probed as often; clocks
 constexpr double kMemoryUse = 0.85, kOwnGrant = 1.25, kGrantSpare = 1.4;  // memory to fill; grants
 constexpr double kSafeCapacity = 0.4, kLearn = 0.02;  // of a cold node's cores; weight of one more in a mean
-constexpr double kRestFirst = 1, kRestLast = 8, kFullPause = 1;  // rests, doubled at each relapse
-constexpr double kFailSpan = 4, kFailShare = 0.2, kFailLead = 2;   // failures that blame a node
+constexpr double kRestFirst = 1, kRestLast = 8, kFullPause = 1;   // rests, doubled at each relapse
+constexpr double kFailSpan = 4, kFailShare = 0.2, kFailLead = 2;  // failures that blame a node
 constexpr double kQuiet = 0.5, kTrials = 3;  // nothing is overdue sooner; failures to blame, trials to clear
 constexpr double kFurther = 2, kTimeoutRuns = 3;  // further sends of a command; a time-out, in usual runs
 constexpr double kBacklog = 0.2, kOverloadHold = 0.5;  // part of the slack for the backlog; overload lasts on
@@ -159,9 +159,9 @@
   std::optional<uint64_t> key;
   double estimate = 0, estimateMb = 0, work = 0, memory = 0, grant = 0;
   double targetAt = 0, timeoutAt = 0, worth = 0;
-  double sentAt = 0, ranAt = -1;  // ranAt: first send that may have run
-  Node* node = nullptr;           // where a send is out
-  std::shared_ptr<Node> avoid, ranOn;  // where the last one failed; where the first ran
+  double sentAt = 0, ranAt = -1;       // ranAt: first send that may have run
+  Node* node = nullptr;                // where a send is out
+  std::shared_ptr<Node> avoid, ranOn;  // where the last failed, the first ran; ~Core cuts rings
   int sends = 0;
   bool held = false, over = false, streaming = false, trial = false, cancelled = false;
 };
@@ -183,7 +183,9 @@
     takenInSpan = TimeRing(std::max(set.furtherSpan, 0.001));
   }
 
-  ~Core() override { for (auto& [id, node] : nodes) node->out.clear(); }  // they may hold their node in turn
+  ~Core() override {
+    std::ranges::for_each(nodes, [](auto& it) { it.second->out.clear(); });
+  }
   void at(double time) override { now = time, openedAt = openedAt < 0 ? now : openedAt; }
   double share() const { return 1.0 / std::max(1, set.gateways); }
   double part() const { return std::clamp(trafficPart, share(), 1.0); }  // of all work done, at least
@@ -660,9 +662,9 @@
   std::vector<std::shared_ptr<Cmd>> held;
   size_t fresh = 0;  // from here on, held commands that no sweep has looked at
   TimeRing taken{20}, done{3}, doneLong{20}, further{1}, takenInSpan{1};
-  double quotas = 0, trafficPart = 0;          // of all tenants, commands a second; our part of their work
-  double usualRun = 0, usualWork = 0;          // means over all commands
-  double cores = 0, memoryMb = 0, listed = 0, resting = 0;  // of listed nodes; the last: who rest
+  double quotas = 0, trafficPart = 0;  // of all tenants, commands a second; our part of their work
+  double usualRun = 0, usualWork = 0;  // means over all commands
+  double cores = 0, memoryMb = 0, listed = 0, resting = 0;      // of listed nodes; the last: who rest
   double threads = 0, memory = 0, usualMemory = 0;              // of our sends there
   double allFails = 0, allOks = 0, lateTook = 0, lateRest = 0;  // and what became of them
   double probes = 0;                                            // due
