--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -116,7 +116,7 @@
   }
 };
 
-struct Node : std::enable_shared_from_this<Node> {
+struct Node {
   uint32_t id = 0;
   std::string zone, kind;
   int cell = 0;
@@ -159,10 +159,11 @@
   std::optional<uint64_t> key;
   double estimate = 0, estimateMb = 0, work = 0, memory = 0, grant = 0;
   double targetAt = 0, timeoutAt = 0, worth = 0;
-  double sentAt = 0, ranAt = -1;       // ranAt: first send that may have run
-  Node* node = nullptr;                // where a send is out
-  std::shared_ptr<Node> avoid, ranOn;  // where the last failed, the first ran; ~Core cuts rings
-  int sends = 0;
+  double sentAt = 0, ranAt = -1;  // ranAt: first send that may have run
+  Node* node = nullptr;           // where a send is out
+  std::optional<uint32_t> avoid;  // where the last one failed
+  std::string ranZone;            // and where the first ran, as that node may have gone
+  int sends = 0, ranCell = 0;
   bool held = false, over = false, streaming = false, trial = false, cancelled = false;
 };
 
@@ -183,9 +184,6 @@
     takenInSpan = TimeRing(std::max(set.furtherSpan, 0.001));
   }
 
-  ~Core() override {
-    std::ranges::for_each(nodes, [](auto& it) { it.second->out.clear(); });
-  }
   void at(double time) override { now = time, openedAt = openedAt < 0 ? now : openedAt; }
   double share() const { return 1.0 / std::max(1, set.gateways); }
   double part() const { return std::clamp(trafficPart, share(), 1.0); }  // of all work done, at least
@@ -344,7 +342,7 @@
     for (auto& row : given) {
       auto& slot = nodes[row.id];
       if (!slot) {
-        slot = std::make_shared<Node>();
+        slot = std::make_unique<Node>();
         slot->id = row.id;
         for (size_t i = 0; i < rows.size(); ++i) slot->credit.push_back(chance.between(-2, 0));
         slot->coldWork = TimeRing(std::max(set.fallTime * 1.1, 0.001));
@@ -402,8 +400,8 @@
     if (!node.listed || !open(profile.zonesOpen, node.zone) || !open(profile.kindsOpen, node.kind))
       return false;
     if (cmd.ranAt >= 0 && profile.effect == Effect::uniqued) {  // rule 2: inside the group that knows it
-      if (profile.group != Group::all && node.zone != cmd.ranOn->zone) return false;
-      if (profile.group == Group::cell && node.cell != cmd.ranOn->cell) return false;
+      if (profile.group != Group::all && node.zone != cmd.ranZone) return false;
+      if (profile.group == Group::cell && node.cell != cmd.ranCell) return false;
     }
     if (now < node.fullUntil) return false;
     if (node.resting) {  // trials: one at a time, of what may run again and is short
@@ -431,7 +429,7 @@
       if (apart && (hash < kLoadSide) != cmd.profile().load) extra += kApart;  // loads keep to their side
       if (node->credit[&cmd.row - rows.data()] < 0) extra += kOver * sparse;
       if (node->resting && evidence() >= kTrials) extra -= 1e6;  // a trial that is due is taken
-      if (node == cmd.avoid) extra += 1e6;
+      if (cmd.avoid == id) extra += 1e6;
       bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
       choices[place].push_back({node.get(), load(*node) + extra, rank});
     }
@@ -656,7 +654,7 @@
   bool overload = false, pressure = false, listSeen = false;
   bool loadsHold = false;  // some profile stands still while a load holds its group
   std::vector<Row> rows;
-  std::map<uint32_t, std::shared_ptr<Node>> nodes;
+  std::map<uint32_t, std::unique_ptr<Node>> nodes;
   std::map<uint64_t, KeyLine> keys;
   Turn root;
   std::vector<std::shared_ptr<Cmd>> held;
@@ -697,7 +695,7 @@
   bool ownTrial = std::exchange(trial, false);
   if (ownTrial) was.trialOut = false;
   bool ran = what != Outcome::full && what != Outcome::connectFailed && what != Outcome::unused;
-  if (ran && ranAt < 0) ranAt = sentAt, ranOn = was.shared_from_this();
+  if (ran && ranAt < 0) ranAt = sentAt, ranZone = was.zone, ranCell = was.cell;
   if (key && (what == Outcome::expired || what == Outcome::reset || what == Outcome::cancelled))
     core.keys[*key].quietUntil = core.now + core.set.keyQuiet;
   bool answered = what == Outcome::answered;
@@ -723,7 +721,7 @@
     if (double(core.answers.size()) > kAnswers) core.answers.pop_front();
   }
   core.seeReport(was, report);
-  avoid = was.shared_from_this();
+  avoid = was.id;
   if (over |= final) core.close(*this);
   else core.again(*this);
 }
