--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -46,7 +46,9 @@
 constexpr double kSafeCapacity = 0.4, kLearn = 0.02;  // of a cold node's cores; weight of one more in a mean
 // Rule 4 where a gateway's own part is too small: the work of one send, and the mean of all sends in a window, as
 // parts of its budget; mean work 0.28, jumps 1/32: more than all of it by a chance under 1e-8 (docs/design.md).
-constexpr double kColdMost = 1 / 32.0, kColdMean = 0.28, kColdHold = 0.25;
+constexpr double kColdMost = 1 / 32.0, kColdMean = 0.2, kColdHold = 0.25;
+constexpr double kHomeSpan = 2, kHomeLeast = 8,
+                 kAway = 2;  // sends of so long need a node; fewest; what others weigh
 constexpr double kRestFirst = 1, kRestLast = 8, kFullPause = 1;   // rests, doubled at each relapse
 constexpr double kFailSpan = 4, kFailShare = 0.2, kFailLead = 2;  // failures that blame a node
 constexpr double kQuiet = 0.5, kTrials = 3;  // nothing is overdue sooner; failures to blame, trials to clear
@@ -134,6 +136,8 @@
   double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
   double others = 0, reportedAt = -HUGE_VAL;  // threads of the other gateways there, by its last report
   double turnAt = -1;                         // a cold one's next turn for us
+  double homeRank = 0;                        // among the nodes of this gateway
+  bool home = true;
   double restUntil = 0, restTime = kRestFirst, pause = kFullPause, wellSince = 0;
   int trials = 0, late = 0;  // answered ones; sends overdue now
   bool pressed = false, resting = false, trialOut = false;
@@ -181,7 +185,7 @@
 
 struct Core final : Gateway {
   Core(const Settings& given, uint64_t seed, Outlet& to, Rights* over)
-      : set(given), chance(seed), out(to), rights(over) {
+      : set(given), chance(seed), out(to), rights(over), salt(seed) {
     rows.resize(set.profiles.size());
     for (size_t i = 0; i < rows.size(); ++i) rows[i].profile = &set.profiles[i];
     for (auto& tenant : set.tenants) quotas += tenant.quota;
@@ -360,7 +364,7 @@
       auto& slot = nodes[row.id];
       if (!slot) {
         slot = std::make_unique<Node>();
-        slot->id = row.id;
+        slot->id = row.id, slot->home = false;
         for (size_t i = 0; i < rows.size(); ++i) slot->credit.push_back(chance.between(-2, 0));
         slot->coldWork = TimeRing(std::max(set.fallTime * 1.1, 0.001));
       }
@@ -368,11 +372,26 @@
       node.zone = row.zone, node.kind = row.kind, node.cell = row.cell;
       for (auto& known : set.kinds)
         if (known.name == row.kind) node.cores = std::max(known.cores, 1.0), node.memoryMb = known.memoryMb;
+      node.homeRank = std::log(mix(row.id, salt)) / node.cores;
       node.listed = row.state == NodeState::inService;  // rule 3: at once, whatever the grace
       node.gone = row.state == NodeState::gone;
       if (std::exchange(node.startedAt, row.startedAt) != row.startedAt)
         node.restUntil = std::min(node.restUntil, now);
     }
+    chooseHome();
+  }
+
+  // The nodes that this gateway sends to first: as many as its sends keep warm, others in each gateway.
+  void chooseHome() {
+    std::vector<Node*> able;
+    for (auto& [id, node] : nodes)
+      if (node->home = node->listed && (!node->resting || now >= node->restUntil); node->home)
+        able.push_back(node.get());
+    double span = std::clamp(now - openedAt, 5.0, 20.0), all = double(able.size());
+    homes = std::min(std::max(kHomeLeast, std::round(kHomeSpan * taken.sum(now) / span)), all);
+    if (homes >= all) return;
+    std::ranges::nth_element(able, able.begin() + int(homes), std::greater{}, &Node::homeRank);
+    for (size_t i = size_t(homes); i < able.size(); ++i) able[i]->home = false;
   }
 
   void probed(uint32_t id, Outcome, const Report* report) override {
@@ -419,6 +438,8 @@
     for (auto& row : rows)
       if (row.usualWork > 0) unit = std::min(unit, row.usualWork);
     double usual = unit * set.gateways / (kColdMean * budget) * (1 + kColdHold) * set.fallTime;
+    if (!node.home) return false;  // who has it among its own takes the turns of the others
+    usual *= std::min(1.0, homes * node.cores / std::max(allCores, 1.0));
     auto gap = [&] { return -std::log(1 - chance.unit()) * usual; };
     if (node.turnAt < 0) node.turnAt = now + gap();
     while (node.turnAt + kColdHold * set.fallTime < now) node.turnAt += gap();
@@ -471,6 +492,7 @@
       if (node->credit[&cmd.row - rows.data()] < 0) extra += kOver * sparse;
       if (pressure && cold(*node) && byTurns()) extra -= kOver;  // a turn comes seldom and passes
       if (node->resting && evidence() >= kTrials) extra -= 1e6;  // a trial that is due is taken
+      if (!node->home) extra += kAway;
       if (cmd.avoid == id) extra += 1e6;
       bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
       choices[place].push_back({node.get(), load(*node) + extra, rank});
@@ -649,7 +671,8 @@
   void sweep() {
     std::erase_if(nodes, [&](auto& it) { return it.second->over(now); });
     bool any = false;
-    cores = memoryMb = listed = resting = 0;
+    cores = memoryMb = listed = resting = allCores = 0;
+    for (auto& [id, node] : nodes) allCores += node->listed ? node->cores : 0;
     for (auto& [id, node] : nodes)
       if (node->listed && !node->resting) cores += able(*node), memoryMb += node->memoryMb, ++listed;
       else resting += node->listed;
@@ -666,12 +689,13 @@
     weight = std::min(1.0, kSweep * taken.sum(now) / span / kAnswers);
     sparse = std::clamp(1 - (allOks + allFails) / kFailSpan / std::max(1.0, listed) / kDense, 0.0, 1.0);
     // Where few sends tell how a node is, it is asked now and then: one probe a command at most.
-    if (set.probing && sparse > 0) probes += kSweep * std::min(listed / kReportFades, taken.sum(now) / span);
-    for (; probes >= 1; --probes) {
+    if (set.probing && sparse > 0) probes += kSweep * std::min(homes / kReportFades, taken.sum(now) / span);
+    chooseHome();
+    for (; probes >= 1 && homes > 0; --probes) {
       auto next = nodes.upper_bound(lastProbed);
-      if (next == nodes.end()) next = nodes.begin();
-      lastProbed = next->first;
-      if (next->second->listed) out.probe(lastProbed);
+      while (next == nodes.end() || !next->second->home)
+        next = next == nodes.end() ? nodes.begin() : std::next(next);
+      out.probe(lastProbed = next->first);
     }
     usualMemory += weight * (memory - usualMemory);
     threads = memory = 0;  // what stands at a node that rests takes no place
@@ -739,7 +763,9 @@
   double cores = 0, memoryMb = 0, listed = 0, resting = 0;      // of listed nodes; the last: who rest
   double threads = 0, memory = 0, usualMemory = 0;              // of our sends there
   double allFails = 0, allOks = 0, lateTook = 0, lateRest = 0;  // and what became of them
-  double probes = 0;                                            // due
+  double homes = 0, allCores = 0;                               // nodes of our own; of all listed ones
+  uint64_t salt;
+  double probes = 0;  // due
   uint32_t lastProbed = 0;
   double weight = 0, sparse = 0;  // part of the last answers that is new; 1: hardly a send comes to one node
   double stretch = 1;             // latency over the best,
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -157,6 +157,28 @@
   CHECK_GT(all, 0.1 * budget);
 }
 
+TEST_CASE("where few sends come to each node a gateway keeps to a few, and all gateways to all") {
+  // 300 gateways each spread 7 sends a second over 80 nodes: a connection a send, and each node known by hearsay.
+  auto site = patient();
+  site.gateways = 300;
+  std::map<uint32_t, int> by;  // gateways that send there
+  std::vector<uint32_t> ids;
+  for (uint32_t id = 1; id <= 80; ++id) ids.push_back(id);
+  for (uint64_t who = 0; who < 300; ++who) {
+    Scene scene(site, who * 7919);
+    scene.nodes(ids);
+    for (int i = 0; i < 100; ++i) {
+      auto c = numbered("c", i);
+      scene.take(c, "quick", 0.1, "north", i * i % 37), scene.to(scene.now + 0.1);
+      scene.ends(c, Outcome::answered, 0.1), scene.to(scene.now + 0.04);
+    }
+    CHECK_LE(scene.sent.size(), 24);
+    for (auto& [node, times] : scene.sent) by[node] += 1;
+  }
+  CHECK_EQ(by.size(), 80);
+  for (auto& [node, gateways] : by) CHECK_GE(gateways, 25);
+}
+
 TEST_CASE("rule 5: one of a key at a time, in the order taken, after the quiet time") {
   auto site = Scene::site();
   site.profiles[0].ordered = true, site.keyQuiet = 0.3;
