--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -31,6 +31,7 @@
 Settings readSettings(const Section& config) {
   Settings settings;
   settings.gateways = config.get("balancers", 1);
+  settings.ordinal = config.get("ordinal", -1);
   settings.zone = config.get<std::string>("zone", "");
   for (auto& row : config.rows("classes")) settings.profiles.push_back(readProfile(row));
   for (auto& row : config.rows("accounts"))
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -7,7 +7,7 @@
 //   2. cold start   a node that has just started gets no more work than our part of its budget
 //   3. shedding     what can't be in time, or is worth least for its work, ends early under overload
 //   4. estimates    corrected by bills and latencies; grants, priorities, time-outs follow; memory is a bound
-//   5. the others   many gateways: their part by our sends to the whole fleet, by reports, by a node's credit
+//   5. the others   many gateways: their part by our sends to the whole fleet, by reports, by nodes of ours
 //   6. held groups  who would wait for a load on its group of tables keeps off that load's node
 #include "policy.h"
 
@@ -44,11 +44,10 @@
 constexpr double kReportFades = 3, kSweep = 0.05, kClock = 1e-6;  // and each node is probed as often; clocks
 constexpr double kMemoryUse = 0.85, kOwnGrant = 1.25, kGrantSpare = 1.4;  // memory to fill; grants
 constexpr double kSafeCapacity = 0.4, kLearn = 0.02;  // of a cold node's cores; weight of one more in a mean
-// Rule 4 where a gateway's own part is too small: the work of one send, and the mean of all sends in a window, as
-// parts of its budget; mean work 0.28, jumps 1/32: more than all of it by a chance under 1e-8 (docs/design.md).
-constexpr double kColdMost = 1 / 32.0, kColdMean = 0.2, kColdHold = 0.25;
+constexpr double kByTurns = 0.08, kTurnsUsed = 0.5;  // less of all gateways takes turns; the use made of them
+constexpr double kSlots = 2, kSlotPart = 0.25, kHolders = 2;  // in a window; of its budget each; who share it
 constexpr double kHomeSpan = 2, kHomeLeast = 8,
-                 kAway = 2;  // sends of so long need a node; fewest; what others weigh
+                 kAway = 2;  // our own nodes: by sends in it; fewest; others weigh
 constexpr double kRestFirst = 1, kRestLast = 8, kFullPause = 1;   // rests, doubled at each relapse
 constexpr double kFailSpan = 4, kFailShare = 0.2, kFailLead = 2;  // failures that blame a node
 constexpr double kQuiet = 0.5, kTrials = 3;  // nothing is overdue sooner; failures to blame, trials to clear
@@ -135,7 +134,8 @@
   double stretch = 1, limit = 1;  // latency, over the best; the mark's multiple
   double pressedUntil = -1, idleUntil = -1, fullUntil = -1;
   double others = 0, reportedAt = -HUGE_VAL;  // threads of the other gateways there, by its last report
-  double turnAt = -1;                         // a cold one's next turn for us
+  int64_t slot = -1;                          // of a cold one, the last that was ours,
+  double slotWork = 0;                        // and what we sent in it
   double homeRank = 0;                        // among the nodes of this gateway
   bool home = true;
   double restUntil = 0, restTime = kRestFirst, pause = kFullPause, wellSince = 0;
@@ -209,6 +209,7 @@
     double age = cold(node) ? std::max(0.0, now - *node.startedAt) / set.coldTime : 1;
     return node.cores * (set.coldFrom + (1 - set.coldFrom) * age);
   }
+  double slow(const Node& node) const { return node.cores / able(node); }  // a run there, over a warm one's
   void log(const char* format, auto... figures) {
     char line[160];
     std::snprintf(line, sizeof line, format, figures...);
@@ -231,7 +232,9 @@
     cmd->targetAt = now + profile.target + profile.targetStretch * cmd->run();
     cmd->timeoutAt = now + arrival.timeLeft;
     if (!hopeless(*cmd))  // figures that are out of all range say nothing of what is usual
-      drift(row->usualWork, cmd->work), drift(usualWork, cmd->work), drift(usualRun, cmd->run());
+      drift(row->usualWork, cmd->work), drift(usualWork, cmd->work), drift(usualRun, cmd->run()),
+          usualMb +=
+          (cmd->memory / profile.threads - usualMb) * std::min(1.0, kLearn * cmd->work / usualWork);
     taken.add(now, 1), takenInSpan.add(now, 1);
     if (rights) rights->take(*cmd, arrival);
     else cmd->leaf = &leafFor(arrival, *cmd);
@@ -383,32 +386,38 @@
 
   // The nodes that this gateway sends to first: as many as its sends keep warm, others in each gateway.
   void chooseHome() {
-    std::vector<Node*> able;
-    for (auto& [id, node] : nodes)
-      if (node->home = node->listed && (!node->resting || now >= node->restUntil); node->home)
-        able.push_back(node.get());
-    double span = std::clamp(now - openedAt, 5.0, 20.0), all = double(able.size());
+    std::vector<Node*> own;
+    for (auto& [id, node] : nodes) {
+      bool up = node->listed && (!node->resting || now >= node->restUntil);
+      if (node->home = up && !byTurns(*node); node->home) own.push_back(node.get());
+    }
+    double span = std::clamp(now - openedAt, 5.0, 20.0), all = double(own.size());
     homes = std::min(std::max(kHomeLeast, std::round(kHomeSpan * taken.sum(now) / span)), all);
-    if (homes >= all) return;
-    std::ranges::nth_element(able, able.begin() + int(homes), std::greater{}, &Node::homeRank);
-    for (size_t i = size_t(homes); i < able.size(); ++i) able[i]->home = false;
+    std::ranges::nth_element(own, own.begin() + int(homes), std::greater{}, &Node::homeRank);
+    homeCores = 0;
+    for (size_t i = 0; i < own.size(); ++i)
+      if (own[i]->home = double(i) < homes; own[i]->home) homeCores += able(*own[i]);
   }
 
   void probed(uint32_t id, Outcome, const Report* report) override {
     if (auto found = nodes.find(id); found != nodes.end()) seeReport(*found->second, report);
   }
 
-  double usualOthers() const { return threads / std::max(cores, 1.0) * (1 / share() - 1); }
+  double usualOthers() const {  // what we have out says little of the others where few sends come to a node
+    double ours = std::max(threads - turnThreads, 0.0) / std::max(cores - turnCores, 1.0) * (1 / share() - 1);
+    return (ours + sparse * told) / (1 + sparse * tellers);
+  }
   // Threads a core of the other gateways there: as many as ours at all nodes together (a mark's part may be
   // less than one thread a node), but for what the node reported, which fades.
   double others(const Node& node) const {
-    double usual = usualOthers(), fade = std::exp((node.reportedAt - now) / kReportFades);
+    double usual = byTurns(node) ? 0 : usualOthers(), fade = std::exp((node.reportedAt - now) / kReportFades);
     return usual + (node.others / able(node) - usual) * fade;
   }
 
   double fill(const Node& node, const Cmd& cmd) const {  // part of its place that a node has in use
     double half = cmd.profile().threads / 2.0;
-    double use = (node.threads + half) / able(node) + others(node) + half / std::max(cores, 1.0) / share();
+    double use = (node.threads + half) / able(node) + others(node);
+    if (!byTurns(node)) use += (tellers > 0 ? 1 - sparse : 1) * half / std::max(cores, 1.0) / share();
     use /= kMark * (1 - kUnseen * sparse) * node.limit;
     return threads > 0 ? use : std::min(use, kEmptyUse);  // or a wide command of a small gateway never starts
   }
@@ -418,7 +427,8 @@
     if (set.shortMemory == ShortMemory::overcommit) ours = share();
     double theirs = (node.pressed ? memory + cmd.memory : usualMemory) / std::max(memoryMb, 1.0);
     theirs *= (1 / ours - 1) * (usualOthers() > 0 ? std::max(1.0, others(node) / usualOthers()) : 1);
-    double use = (node.memory + cmd.memory) / node.memoryMb + theirs;
+    if (tellers > 0) theirs += sparse / 2 * (others(node) * able(node) * usualMb / node.memoryMb - theirs);
+    double use = (node.memory + cmd.memory) / node.memoryMb + (byTurns(node) ? 0 : theirs);
     return node.memoryMb <= 0 || memory <= 0 || use <= kMemoryUse * (1 - kUnseen * sparse);
   }
 
@@ -428,24 +438,19 @@
            });
   }
 
-  // Rule 4 among many: our 1/N of a cold node's budget is less than a command, so the right to send comes by turns
-  // of chance that no gateway shares with another: memoryless, so that neither restarts nor unequal traffic nor what
-  // is held anywhere moves the sum of them all. Dear commands pay by chance; the dearest never go.
-  bool byTurns() const { return kSafeCapacity * share() < kColdMost; }
-  bool hasTurn(Node& node, double work, double budget) {
-    double unit = kColdMost * budget;  // what a turn pays for
-    if (work > unit) return false;
-    for (auto& row : rows)
-      if (row.usualWork > 0) unit = std::min(unit, row.usualWork);
-    double usual = unit * set.gateways / (kColdMean * budget) * (1 + kColdHold) * set.fallTime;
-    if (!node.home) return false;  // who has it among its own takes the turns of the others
-    usual *= std::min(1.0, homes * node.cores / std::max(allCores, 1.0));
-    auto gap = [&] { return -std::log(1 - chance.unit()) * usual; };
-    if (node.turnAt < 0) node.turnAt = now + gap();
-    while (node.turnAt + kColdHold * set.fallTime < now) node.turnAt += gap();
-    if (node.turnAt > now) return false;
-    if (work <= unit || chance.unit() < unit / work) return true;
-    return node.turnAt = now + gap(), false;
+  // Rule 4 among many, as 1/N of a cold node's budget is less than a command: in each slot of its time, from
+  // its start on, a few known by a hash have all of it. A window touches three slots; a fourth by slow sends.
+  bool byTurns(const Node& node) const { return cold(node) && set.ordinal >= 0 && share() < kByTurns; }
+  double right(Node& node) {
+    double budget = set.fallMultiple * set.coldFrom * node.cores * set.fallTime;
+    if (!byTurns(node)) return kSafeCapacity * budget * share() - node.coldWork.sum(now);
+    double length = set.fallTime / kSlots;
+    int64_t slot = int64_t(std::floor((now - *node.startedAt) / length)), holds = 0;
+    for (int i = 0; i < int(kHolders); ++i)
+      holds += int(mix(node.id, ~uint64_t(slot * int(kHolders) + i)) * set.gateways) == set.ordinal;
+    if (holds == 0 || *node.startedAt + double(slot) * length < openedAt) return 0;  // an earlier life had it
+    if (std::exchange(node.slot, slot) != slot) node.slotWork = 0;
+    return kSlotPart * budget / kHolders - node.slotWork;
   }
 
   bool allowed(Node& node, const Cmd& cmd) {
@@ -466,15 +471,9 @@
       if (!fit && now < node.restUntil + kRestLast) return false;
     }
     if (cold(node)) {  // rule 4: our part of the budget, by the usual work of the profile
-      double budget = set.fallMultiple * set.coldFrom * node.cores * set.fallTime;
-      double work = std::max(cmd.work, cmd.row.usualWork);
-      if (byTurns()) {
-        if (!hasTurn(node, work, budget)) return false;
-      } else if (now < openedAt + set.fallTime) {
-        return false;  // an earlier life of this gateway may have sent
-      } else if (node.coldWork.sum(now) + work > kSafeCapacity * budget * share()) {
-        return false;
-      }
+      bool turns = byTurns(node);
+      if (!turns && now < openedAt + set.fallTime) return false;  // an earlier life may have sent
+      if (std::max(cmd.work, turns ? 0 : cmd.row.usualWork) > right(node)) return false;
     }
     return fits(node, cmd) && !holdsGroup(node, cmd);
   }
@@ -489,10 +488,10 @@
       double extra = set.crossZoneCharge > 0 && node->zone != set.zone ? kFarZone : 0;
       double hash = mix(id, cmd.tables), rank = std::log(hash) / node->cores;
       if (apart && (hash < kLoadSide) != cmd.profile().load) extra += kApart;  // loads keep to their side
-      if (node->credit[&cmd.row - rows.data()] < 0) extra += kOver * sparse;
-      if (pressure && cold(*node) && byTurns()) extra -= kOver;  // a turn comes seldom and passes
-      if (node->resting && evidence() >= kTrials) extra -= 1e6;  // a trial that is due is taken
-      if (!node->home) extra += kAway;
+      if (node->resting && evidence() >= kTrials) extra -= 1e6;                // a trial that is due is taken
+      if (node->home && node->credit[&cmd.row - rows.data()] < 0) extra += kOver * sparse;
+      if (byTurns(*node)) extra -= pressure ? kOver : 0;  // a turn comes seldom and passes
+      else if (!node->home) extra += kAway;
       if (cmd.avoid == id) extra += 1e6;
       bool place = !node->pressed || fill(*node, cmd) < 1 || now < node->idleUntil;
       choices[place].push_back({node.get(), load(*node) + extra, rank});
@@ -538,16 +537,14 @@
     double most = node.memoryMb > 0 ? node.memoryMb * set.maxGrantShare : HUGE_VAL;
     double grant = set.grants ? std::min(cmd.memory * kGrantSpare, most) : 0;
     if (set.priorities || grant > 0) out.terms(cmd, priority, grant);
-    if (cold(node)) node.coldWork.add(now, std::max(cmd.work, cmd.row.usualWork)), node.turnAt = -1;
+    if (cold(node)) node.coldWork.add(now, std::max(cmd.work, cmd.row.usualWork)), node.slotWork += cmd.work;
     if (node.resting) cmd.trial = node.trialOut = true;
     node.out.push_back(cmd.shared_from_this());
     memory += cmd.grant;
     threads += cmd.profile().threads, node.threads += cmd.profile().threads, node.memory += cmd.grant;
-    for (auto& [id, other] : nodes) {
-      if (!other->listed || other->resting) continue;
-      double& credit = other->credit[&cmd.row - rows.data()];
-      credit = std::min(credit + kSpare * able(*other) / cores, 0.0);
-    }
+    for (auto& [id, other] : nodes)
+      if (double& credit = other->credit[&cmd.row - rows.data()]; other->home)
+        credit = std::min(credit + kSpare * able(*other) / std::max(homeCores, 1.0), 0.0);
     node.credit[&cmd.row - rows.data()] -= 1;
     double wait = timeout(cmd, node);
     out.send(cmd, node.id, wait > 0 && now + wait < cmd.timeoutAt ? wait : 0);
@@ -555,10 +552,7 @@
 
   // --- sweeps
   void rest(Node& node, const char* of, double is, double at) {
-    if (!node.resting)
-      --listed, ++resting,
-          log("node %u rests: %s (%.2f against %.2f), %d late, %zu out%s", node.id, of, is, at, node.late,
-              node.out.size(), cold(node) ? ", cold" : "");
+    if (!node.resting) --listed, ++resting, log("node %u rests: %s (%.2f against %.2f)", node.id, of, is, at);
     bool relapse = node.resting || now < node.wellSince + kRestLast;
     double longest = kRestLast * kTrials / evidence();  // a trial is dear where few sends come to one node
     node.restTime = relapse ? std::min(node.restTime * 2, longest) : kRestFirst;
@@ -586,7 +580,8 @@
     std::set<uint64_t> groups;
     allFails -= std::exchange(node.late, 0);
     for (auto& cmd : node.out) {
-      if (now - cmd->sentAt <= kQuiet + kTimeoutRuns * cmd->atRest() * usual || cmd->sentAt < node.wellSince)
+      if (now - cmd->sentAt <= kQuiet + kTimeoutRuns * cmd->atRest() * usual * slow(node) ||
+          cmd->sentAt < node.wellSince)
         continue;
       if (cmd->lowered) continue;
       if (!cmd->profile().yields || (groups.insert(cmd->tables).second && groups.size() > 1)) ++node.late;
@@ -607,7 +602,7 @@
   void moveMark(Node& node) {
     double took = node.took.sum(now), atRest = node.rest.sum(now);
     for (auto& cmd : node.out) {  // what is overdue tells before it ends
-      double past = std::min(now - cmd->sentAt, kRatioCap * cmd->atRest()), rest = cmd->atRest();
+      double rest = cmd->atRest() * slow(node), past = std::min(now - cmd->sentAt, kRatioCap * rest);
       if (past <= kFar * rest) continue;
       took += past, atRest += rest;
       if (!node.resting && past >= kRatioCap * rest) lateTook += past, lateRest += rest;
@@ -646,8 +641,7 @@
       return std::pair(rights && rights->within(*cmd), worthNow(*cmd) / cmd->work);
     });
     if (!overload) log("overload: %.1f s of work held, room for %.1f", backlog, room);
-    overload = true, overloadUntil = now + kOverloadHold;
-    waiting.pop_back();
+    overload = true, overloadUntil = now + kOverloadHold, waiting.pop_back();
     for (auto& cmd : waiting) {
       bool sure = rights && rights->within(*cmd);  // its places come back: it may have the whole slack
       if (backlog <= (sure ? room / kBacklog : room)) break;
@@ -671,11 +665,17 @@
   void sweep() {
     std::erase_if(nodes, [&](auto& it) { return it.second->over(now); });
     bool any = false;
-    cores = memoryMb = listed = resting = allCores = 0;
-    for (auto& [id, node] : nodes) allCores += node->listed ? node->cores : 0;
-    for (auto& [id, node] : nodes)
-      if (node->listed && !node->resting) cores += able(*node), memoryMb += node->memoryMb, ++listed;
-      else resting += node->listed;
+    cores = memoryMb = listed = resting = turnCores = turnThreads = tellers = told = 0;
+    for (auto& [id, node] : nodes) {
+      resting += node->listed && node->resting;
+      if (!node->listed || node->resting) continue;
+      double fade = std::exp((node->reportedAt - now) / kReportFades), turns = byTurns(*node);
+      double place =
+          able(*node) * (turns > 0 ? kTurnsUsed : 1);  // who has a turn has not always a use for it
+      cores += place, turnCores += turns * place, turnThreads += turns * node->threads, ++listed;
+      memoryMb += (1 - turns) * node->memoryMb, tellers += fade *= 1 - turns;
+      told += fade * node->others / able(*node);
+    }
     double worst = lateTook = lateRest = allFails = allOks = 0;
     for (auto& [id, node] : nodes) {
       moveMark(*node);
@@ -763,7 +763,9 @@
   double cores = 0, memoryMb = 0, listed = 0, resting = 0;      // of listed nodes; the last: who rest
   double threads = 0, memory = 0, usualMemory = 0;              // of our sends there
   double allFails = 0, allOks = 0, lateTook = 0, lateRest = 0;  // and what became of them
-  double homes = 0, allCores = 0;                               // nodes of our own; of all listed ones
+  double usualMb = 0, tellers = 0, told = 0;  // memory a thread; reports, with what they tell of the others
+  double homes = 0, homeCores = 0, turnCores = 0,
+         turnThreads = 0;  // nodes of our own; what of the above is by turns
   uint64_t salt;
   double probes = 0;  // due
   uint32_t lastProbed = 0;
@@ -817,9 +819,9 @@
   bool spilled =
       bill && estimateMb > 0 && bill->memoryMb > (core.set.grants ? grant : kOwnGrant * estimateMb);
   if (answered && !ownTrial && !spilled) {
-    double most = std::min(took, kRatioCap * atRest());
-    was.took.add(core.now, most), was.rest.add(core.now, atRest());
-    core.answers.push_back({most / atRest(), atRest()});
+    double rest = atRest() * core.slow(was), most = std::min(took, kRatioCap * rest);
+    was.took.add(core.now, most), was.rest.add(core.now, rest);
+    core.answers.push_back({most / rest, rest});
     if (double(core.answers.size()) > kAnswers) core.answers.pop_front();
   }
   core.seeReport(was, report);
--- a/src/policy.h
+++ b/src/policy.h
@@ -41,7 +41,7 @@
   double cores = 1, memoryMb = 0;
 };
 struct Settings {
-  int gateways = 1;
+  int gateways = 1, ordinal = -1;  // the latter: which of them this is, from 0; below 0: not told
   std::string zone;
   std::vector<Profile> profiles;
   std::vector<Tenant> tenants;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -132,18 +132,21 @@
   for (uint64_t round = 0; round < 5; ++round) {
     std::map<int, double> sent;  // by tenths of a second
     for (int who = 0; who < site.gateways; ++who) {
+      site.ordinal = who;
       Scene scene(site, round * 1000 + who);
-      scene.nodes({1}, NodeState::inService, 99.9);
+      uint32_t cold = 1 + uint32_t(round);
+      scene.nodes({cold}, NodeState::inService, 99.9);
       int had = 0, taken = 0, crowd = who % 10 ? 4 : 40;  // as many wait at any time: unequal traffic
       for (int step = 0; step < 60; ++step) {
-        if (step == 30) scene.restart(), scene.nodes({1}, NodeState::inService, 99.9);  // all of them at once
-        if (step % 30 == 0) taken = 0, had = scene.sent[1];
-        for (; taken - (scene.sent[1] - had) < crowd; ++taken)
+        if (step == 30)
+          scene.restart(), scene.nodes({cold}, NodeState::inService, 99.9);  // all of them at once
+        if (step % 30 == 0) taken = 0, had = scene.sent[cold];
+        for (; taken - (scene.sent[cold] - had) < crowd; ++taken)
           scene.take(numbered("c", step * 1000 + taken), "quick", taken % 3 ? 0.05 : 0.15);
-        int before = scene.sent[1];
+        int before = scene.sent[cold];
         for (auto& [name, node] : std::exchange(scene.at, {})) scene.ends(name, Outcome::answered, 0.1);
         scene.to(scene.now + 0.1);
-        sent[step] += (scene.sent[1] - before) * 0.15;  // as if all were the dearest
+        sent[step] += (scene.sent[cold] - before) * 0.15;  // as if all were the dearest
       }
     }
     for (int from = 0; from < 50; ++from) {
@@ -374,6 +377,30 @@
   for (auto& [node, sends] : scene.sent) CHECK_LE(sends, 12);  // of 64 over eight nodes
 }
 
+TEST_CASE("what nodes report weighs as much as what one gateway of many happens to have out") {
+  // One wide command out, times 299 others: its profile started nowhere, with nodes half empty.
+  auto site = patient();
+  site.gateways = 300, site.probing = true, site.shortMemory = ShortMemory::overcommit;
+  Scene scene(site);
+  std::vector<uint32_t> ids;
+  for (uint32_t id = 1; id <= 20; ++id) ids.push_back(id);
+  scene.nodes(ids);
+  press(scene);
+  for (int i = 0; i < 40; ++i) {  // others have two in hand on each node
+    scene.take(numbered("c", i), "quick", 0.2, "north", i, {}, 0, 500);
+    Report report;
+    report.inHand = 2;
+    for (uint32_t id : ids) scene.gateway->probed(id, Outcome::answered, &report);
+    scene.to(scene.now + 0.1);
+    if (scene.at.count(numbered("c", i))) scene.ends(numbered("c", i), Outcome::answered, 0.2);
+  }
+  press(scene);
+  scene.take("one", "quick", 0.2, "north", 1, {}, 0, 500),
+      scene.take("two", "quick", 0.2, "north", 2, {}, 0, 500);
+  CHECK_EQ(scene.at.count("one"), 1);
+  CHECK_EQ(scene.at.count("two"), 1);
+}
+
 TEST_CASE("memory counts over the fleet, what is out now only under pressure") {
   // Many gateways filled engines two to three times; later, on quiet days, two commands looked like a full fleet.
   for (bool pressure : {false, true}) {
