--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -389,7 +389,7 @@
   for (int i = 0; i < 40; ++i) {  // others have two in hand on each node
     scene.take(numbered("c", i), "quick", 0.2, "north", i, {}, 0, 500);
     Report report;
-    report.inHand = 2;
+    report.inHand = 2, report.waiting = 1;  // which shows pressure
     for (uint32_t id : ids) scene.gateway->probed(id, Outcome::answered, &report);
     scene.to(scene.now + 0.1);
     if (scene.at.count(numbered("c", i))) scene.ends(numbered("c", i), Outcome::answered, 0.2);
