--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -427,7 +427,7 @@
     if (set.shortMemory == ShortMemory::overcommit) ours = share();
     double theirs = (node.pressed ? memory + cmd.memory : usualMemory) / std::max(memoryMb, 1.0);
     theirs *= (1 / ours - 1) * (usualOthers() > 0 ? std::max(1.0, others(node) / usualOthers()) : 1);
-    if (tellers > 0) theirs += sparse / 2 * (others(node) * able(node) * usualMb / node.memoryMb - theirs);
+    if (tellers > 0) theirs += sparse / 4 * (others(node) * able(node) * usualMb / node.memoryMb - theirs);
     double use = (node.memory + cmd.memory) / node.memoryMb + (byTurns(node) ? 0 : theirs);
     return node.memoryMb <= 0 || memory <= 0 || use <= kMemoryUse * (1 - kUnseen * sparse);
   }
