--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -198,6 +198,7 @@
     now = time, openedAt = openedAt < 0 ? now : openedAt;
     if (rights) rights->at(now);
   }
+  double seen() const { return std::clamp(now - openedAt, 5.0, 20.0); }  // the span of taken and doneLong
   double share() const { return 1.0 / std::max(1, set.gateways); }
   double part() const { return std::clamp(trafficPart, share(), 1.0); }  // of all work done, at least
   bool cold(const Node& node) const { return node.startedAt && now < *node.startedAt + set.coldTime; }
@@ -209,6 +210,8 @@
     double age = cold(node) ? std::max(0.0, now - *node.startedAt) / set.coldTime : 1;
     return node.cores * (set.coldFrom + (1 - set.coldFrom) * age);
   }
+  // What is left of a node's report.
+  double tells(const Node& node) const { return std::exp((node.reportedAt - now) / kReportFades); }
   double slow(const Node& node) const { return node.cores / able(node); }  // a run there, over a warm one's
   void log(const char* format, auto... figures) {
     char line[160];
@@ -391,8 +394,8 @@
       bool up = node->listed && (!node->resting || now >= node->restUntil);
       if (node->home = up && !byTurns(*node); node->home) own.push_back(node.get());
     }
-    double span = std::clamp(now - openedAt, 5.0, 20.0), all = double(own.size());
-    homes = std::min(std::max(kHomeLeast, std::round(kHomeSpan * taken.sum(now) / span)), all);
+    double all = double(own.size());
+    homes = std::min(std::max(kHomeLeast, std::round(kHomeSpan * taken.sum(now) / seen())), all);
     std::ranges::nth_element(own, own.begin() + int(homes), std::greater{}, &Node::homeRank);
     homeCores = 0;
     for (size_t i = 0; i < own.size(); ++i)
@@ -410,7 +413,7 @@
   // Threads a core of the other gateways there: as many as ours at all nodes together (a mark's part may be
   // less than one thread a node), but for what the node reported, which fades.
   double others(const Node& node) const {
-    double usual = byTurns(node) ? 0 : usualOthers(), fade = std::exp((node.reportedAt - now) / kReportFades);
+    double usual = byTurns(node) ? 0 : usualOthers(), fade = tells(node);
     return usual + (node.others / able(node) - usual) * fade;
   }
 
@@ -580,9 +583,8 @@
     std::set<uint64_t> groups;
     allFails -= std::exchange(node.late, 0);
     for (auto& cmd : node.out) {
-      if (now - cmd->sentAt <= kQuiet + kTimeoutRuns * cmd->atRest() * usual * slow(node) ||
-          cmd->sentAt < node.wellSince)
-        continue;
+      double due = kQuiet + kTimeoutRuns * cmd->atRest() * usual * slow(node);
+      if (now - cmd->sentAt <= due || cmd->sentAt < node.wellSince) continue;
       if (cmd->lowered) continue;
       if (!cmd->profile().yields || (groups.insert(cmd->tables).second && groups.size() > 1)) ++node.late;
     }
@@ -641,7 +643,8 @@
       return std::pair(rights && rights->within(*cmd), worthNow(*cmd) / cmd->work);
     });
     if (!overload) log("overload: %.1f s of work held, room for %.1f", backlog, room);
-    overload = true, overloadUntil = now + kOverloadHold, waiting.pop_back();
+    overload = true, overloadUntil = now + kOverloadHold;
+    waiting.pop_back();
     for (auto& cmd : waiting) {
       bool sure = rights && rights->within(*cmd);  // its places come back: it may have the whole slack
       if (backlog <= (sure ? room / kBacklog : room)) break;
@@ -669,12 +672,11 @@
     for (auto& [id, node] : nodes) {
       resting += node->listed && node->resting;
       if (!node->listed || node->resting) continue;
-      double fade = std::exp((node->reportedAt - now) / kReportFades), turns = byTurns(*node);
-      double place =
-          able(*node) * (turns > 0 ? kTurnsUsed : 1);  // who has a turn has not always a use for it
-      cores += place, turnCores += turns * place, turnThreads += turns * node->threads, ++listed;
-      memoryMb += (1 - turns) * node->memoryMb, tellers += fade *= 1 - turns;
-      told += fade * node->others / able(*node);
+      bool turns = byTurns(*node);
+      double place = able(*node) * (turns ? kTurnsUsed : 1), fade = turns ? 0 : tells(*node);
+      cores += place, memoryMb += turns ? 0 : node->memoryMb, ++listed;
+      if (turns) turnCores += place, turnThreads += node->threads;  // a turn finds not always a use
+      tellers += fade, told += fade * node->others / able(*node);
     }
     double worst = lateTook = lateRest = allFails = allOks = 0;
     for (auto& [id, node] : nodes) {
@@ -684,12 +686,11 @@
     }
     for (auto& [ratio, rest] : answers) lateTook += ratio * rest, lateRest += rest;
     stretch = lateRest > 0 ? lateTook / lateRest : 1;
-    double span = std::clamp(now - openedAt, 5.0, 20.0);
-    if (quotas > 0 && usualWork > 0) trafficPart = doneLong.sum(now) / span / quotas / usualWork;
-    weight = std::min(1.0, kSweep * taken.sum(now) / span / kAnswers);
+    if (quotas > 0 && usualWork > 0) trafficPart = doneLong.sum(now) / seen() / quotas / usualWork;
+    weight = std::min(1.0, kSweep * taken.sum(now) / seen() / kAnswers);
     sparse = std::clamp(1 - (allOks + allFails) / kFailSpan / std::max(1.0, listed) / kDense, 0.0, 1.0);
     // Where few sends tell how a node is, it is asked now and then: one probe a command at most.
-    if (set.probing && sparse > 0) probes += kSweep * std::min(homes / kReportFades, taken.sum(now) / span);
+    if (set.probing && sparse > 0) probes += kSweep * std::min(homes / kReportFades, taken.sum(now) / seen());
     chooseHome();
     for (; probes >= 1 && homes > 0; --probes) {
       auto next = nodes.upper_bound(lastProbed);
@@ -764,8 +765,7 @@
   double threads = 0, memory = 0, usualMemory = 0;              // of our sends there
   double allFails = 0, allOks = 0, lateTook = 0, lateRest = 0;  // and what became of them
   double usualMb = 0, tellers = 0, told = 0;  // memory a thread; reports, with what they tell of the others
-  double homes = 0, homeCores = 0, turnCores = 0,
-         turnThreads = 0;  // nodes of our own; what of the above is by turns
+  double homes = 0, homeCores = 0, turnCores = 0, turnThreads = 0;  // nodes of our own; what is by turns
   uint64_t salt;
   double probes = 0;  // due
   uint32_t lastProbed = 0;
