--- /dev/null
+++ b/bench/engines_bench.cpp
@@ -0,0 +1,97 @@
+// What a list of engines costs one gateway, by its length: a sweep with nothing in hand, a command from its arrival to
+// its answer, and memory. The module by itself, no sockets.
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "policy.h"
+
+using namespace elmcleat;
+
+namespace {
+
+struct Sink : Outlet {
+  void send(Command& command, uint32_t, double) override { sent.push_back(&command); }
+  void terms(Command&, int, double) override {}
+  void cancel(Command&, int) override {}
+  void shed(Command&, double) override { ++ended; }
+  void fail(Command&) override { ++ended; }
+  void probe(uint32_t) override {}
+  void followList() override {}
+  void wake(double) override {}
+  void log(const std::string&) override {}
+  std::vector<Command*> sent;
+  int ended = 0;
+};
+
+double seconds() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+long residentKb() {
+  std::ifstream file("/proc/self/statm");
+  long all = 0, resident = 0;
+  file >> all >> resident;
+  return resident * 4;
+}
+
+}  // namespace
+
+int main() {
+  std::printf(
+      "| engines | sweep, us | part of a core at 20 sweeps a second | command, us | memory, KB |\n"
+      "| --- | --- | --- | --- | --- |\n");
+  for (int engines : {10, 80, 350, 1024}) {
+    Settings set;
+    Profile quick;
+    quick.name = "quick", quick.target = 1, quick.targetStretch = 2, quick.clientTimeout = 5,
+    quick.benefit = 1;
+    set.profiles = {quick, quick, quick};
+    set.profiles[1].name = "dear", set.profiles[2].name = "load";
+    set.tenants = {{"north", 1, 0}};
+    set.kinds = {{"eight", 8, 16000}};
+    set.gateways = 300, set.ordinal = 7, set.maxSends = 3, set.coldFrom = 0.4, set.coldTime = 10;
+    set.fallMultiple = 2, set.fallTime = 1, set.probing = true;
+    long before = residentKb();
+    Sink sink;
+    auto gateway = openGateway(set, 7, sink);
+    double now = 0;
+    gateway->at(now);
+    std::vector<NodeRow> rows;
+    for (uint32_t i = 1; i <= uint32_t(engines); ++i)
+      rows.push_back({i, "a", "eight", 0, NodeState::inService, {}});
+    gateway->list(ListKind::full, rows), gateway->settle();
+    uint64_t number = 0;
+    auto command = [&] {  // seven a second, each answered 20 ms later
+      gateway->at(now += 0.12);
+      auto taken = gateway->take({"quick", "north", ++number % 97, {}, 0.02, 10, 5, {}});
+      gateway->settle();
+      gateway->at(now += 0.02);
+      Bill bill{0.02, 10};
+      for (Command* out : std::exchange(sink.sent, {}))
+        out->outcome(Outcome::answered, 0.02, true, &bill, nullptr);
+      gateway->settle();
+    };
+    for (int i = 0; i < 200; ++i) command();
+    long after = residentKb();
+    std::vector<double> sweeps, commands;
+    for (int i = 0; i < 400; ++i) {
+      double began = seconds();
+      gateway->at(now += 0.05), gateway->settle();
+      sweeps.push_back((seconds() - began) * 1e6);
+    }
+    for (int i = 0; i < 2000; ++i) {  // two settles with a sweep each belong to it: taken off below
+      double began = seconds();
+      command();
+      commands.push_back((seconds() - began) * 1e6);
+    }
+    std::ranges::sort(sweeps), std::ranges::sort(commands);
+    double sweep = sweeps[sweeps.size() / 2], each = commands[commands.size() / 2];
+    std::printf("| %d | %.1f | %.4f | %.1f | %ld |\n", engines, sweep, sweep * 20e-6,
+                std::max(each - sweep, 0.0), after - before);
+  }
+  return 0;
+}
--- a/src/serve/engine.cpp
+++ b/src/serve/engine.cpp
@@ -22,12 +22,13 @@
       rest(scheduler, [this, &signal] { stream.end(Ending::cutShort), signal.raise(); }) {}
 
 Engine::Engine(Scheduler& scheduler, const LinkSettings& settings, Desk& desk, uint32_t id,
-               const size_t& most)
+               const size_t& most, LinkRoom& room)
     : scheduler_(scheduler),
       settings_(settings),
       desk_(desk),
       id_(id),
       most_(most),
+      room_(room),
       signal_(scheduler),
       mailbox_(signal_) {
   task_ = run();
@@ -53,6 +54,7 @@
       lost(**link);
       link = links_.erase(link);
     }
+    beginWaiting();
   }
 }
 
@@ -74,6 +76,7 @@
 // No connection takes anything new; what has not begun to go out never will (rule 3: for drains a send counts
 // from its first byte).
 void Engine::release() {
+  while (!waiting_.empty()) endWaiting(*waiting_.front()->ticket, Ending::replaced);
   for (auto& link : links_) {
     link->old = true;
     for (auto at = link->sends.begin(); at != link->sends.end();) {
@@ -88,22 +91,49 @@
 // --- from the desk
 void Engine::send(std::shared_ptr<Ticket> ticket, double until) {
   mailbox_.post([this, ticket = std::move(ticket), until] {
-    const std::string& id = ticket->ask.id;
     if (retired_) return desk_.ended(ticket, outcomeOf(Ending::replaced, false), 0, {}, {}, {});
     double now = scheduler_.now();
     // Notes on every send come at a set pace: where two of them fail to come, the engine is cut off or gone.
     if (settings_.noteEvery > 0 && sends_ > 0 && now > quietSince_ + 2 * settings_.noteEvery) doubt();
-    Link& link = linkFor(*ticket);
-    auto& send = link.sends[id];
-    send = std::make_unique<Send>(scheduler_,
-                                  [this, &link, id] { giveUp(link, *link.sends.at(id), Outcome::expired); });
-    send->ticket = ticket, send->sentAt = now, send->until = until;
-    send->deadline.set(until);
-    if (sends_++ == 0) quietSince_ = now;
-    if (link.up) write(link, *send);
+    begin(ticket, until);
   });
 }
 
+void Engine::begin(std::shared_ptr<Ticket> ticket, double until) {
+  Link* link = linkFor(*ticket);
+  if (!link) {  // it waits for a connection, at most until its time is up
+    auto& one = waiting_.emplace_back(
+        std::make_unique<Waiting>(scheduler_, [this, ticket] { endWaiting(*ticket, Ending::timedOut); }));
+    one->ticket = ticket, one->until = until;
+    one->deadline.set(until);
+    return room_.wait(signal_);
+  }
+  const std::string& id = ticket->ask.id;
+  double now = scheduler_.now();
+  auto& send = link->sends[id];
+  send = std::make_unique<Send>(scheduler_,
+                                [this, link, id] { giveUp(*link, *link->sends.at(id), Outcome::expired); });
+  send->ticket = ticket, send->sentAt = now, send->until = until;
+  send->deadline.set(until);
+  if (sends_++ == 0) quietSince_ = now;
+  link->place->busy();
+  if (link->up) write(*link, *send);
+}
+
+void Engine::beginWaiting() {
+  if (waiting_.empty()) return;
+  for (auto& one : std::exchange(waiting_, {})) begin(one->ticket, one->until);
+}
+
+// A send that waits for a connection never ran.
+void Engine::endWaiting(const Ticket& ticket, Ending ending) {
+  auto found = std::ranges::find_if(waiting_, [&](auto& one) { return one->ticket.get() == &ticket; });
+  if (found == waiting_.end()) return;
+  auto kept = std::move(*found);  // the call may come from its timer
+  waiting_.erase(found);
+  desk_.ended(kept->ticket, outcomeOf(ending, false), 0, {}, {}, {});
+}
+
 void Engine::write(Link& link, Send& send) {
   const Ask& ask = send.ticket->ask;
   send.place = link.stream.write(engine_line::send(
@@ -137,13 +167,16 @@
 void Engine::cancel(std::shared_ptr<Ticket> ticket) {
   mailbox_.post([this, ticket = std::move(ticket)] {
     if (auto [link, send] = find(*ticket); send) giveUp(*link, *send, Outcome::cancelled);
+    else endWaiting(*ticket, Ending::timedOut);
   });
 }
 
 void Engine::probe() {
   mailbox_.post([this] {
     if (retired_) return desk_.probed(id_, outcomeOf(Ending::replaced, false), {});
-    Link& link = linkForProbe();
+    Link* found = linkForProbe();
+    if (!found) return desk_.probed(id_, outcomeOf(Ending::noDescriptor, false), {});
+    Link& link = *found;
     std::string tag(1, 'p');  // no id of a command begins so
     tag += std::to_string(++probes_);
     auto& limit = link.probes[tag];
@@ -154,6 +187,7 @@
       rest(link);
     });
     limit->set(scheduler_.now() + settings_.connectTimeout);
+    link.place->busy();
     if (link.up) link.stream.write(engine_line::probe(tag, settings_.reports)), link.timer.clear();
   });
 }
@@ -163,7 +197,7 @@
 // that is sure to work, and it harms no other. Beyond that they share, but for commands with a key: the next
 // of the key goes out as soon as this one's client has gone, and by then it has to be given up for sure
 // (rule 5).
-Engine::Link& Engine::linkFor(const Ticket& ticket) {
+Engine::Link* Engine::linkFor(const Ticket& ticket) {
   Link *free = nullptr, *least = nullptr;
   size_t open = 0;
   for (auto& link : links_) {
@@ -178,19 +212,21 @@
     if (load >= static_cast<size_t>(settings_.sendsPerConnection)) continue;
     if (!least || load < least->sends.size() + least->probes.size()) least = link.get();
   }
-  if (free) return *free;
-  return open < most_ || !least ? connect() : *least;
+  if (free) return free;
+  if (least && (open >= most_ || !room_.any())) return least;
+  return room_.any() ? &connect() : nullptr;
 }
 
-Engine::Link& Engine::linkForProbe() {
+Engine::Link* Engine::linkForProbe() {
   for (auto& link : links_)
-    if (link->up && link->stream.open() && !link->old && !link->doubted) return *link;
-  return connect();
+    if (link->up && link->stream.open() && !link->old && !link->doubted) return link.get();
+  return room_.any() ? &connect() : nullptr;
 }
 
 Engine::Link& Engine::connect() {
   auto& made = links_.emplace_back();
   made = std::make_unique<Link>(scheduler_, signal_, [this, slot = &made] { late(**slot); });
+  made->place = room_.take([this, link = made.get()] { link->stream.end(Ending::idle), signal_.raise(); });
   made->timer.set(scheduler_.now() + settings_.connectTimeout);
   made->stream.connect(address_);
   signal_.raise();
@@ -229,6 +265,7 @@
   } else {
     link.timer.set(scheduler_.now() +
                    std::max(settings_.idle - settings_.connectTimeout, settings_.idle / 2));
+    link.place->idle();
   }
 }
 
--- a/src/serve/engine.h
+++ b/src/serve/engine.h
@@ -13,13 +13,17 @@
 #include "runtime/stream.h"
 #include "serve/answer.h"
 #include "serve/desk.h"
+#include "serve/link_room.h"
 
 namespace elmcleat {
 
 class Engine {
  public:
-  // `most`: connections that it should do with; the fleet's number of engines decides, so it changes.
-  Engine(Scheduler& scheduler, const LinkSettings& settings, Desk& desk, uint32_t id, const size_t& most);
+  // `most`: connections that it should do with; the fleet's number of engines decides, so it changes. `room`: those of
+  // all engines together.
+  Engine(Scheduler& scheduler, const LinkSettings& settings, Desk& desk, uint32_t id, const size_t& most,
+         LinkRoom& room);
+  ~Engine() { room_.forget(signal_); }
 
   // From the list. A start at another address or time is another process: what is connected is the old one.
   void place(const Address& address, std::optional<double> started);
@@ -31,7 +35,7 @@
   void cancel(std::shared_ptr<Ticket> ticket);
   void probe();
 
-  bool unused() const { return retired_ && links_.empty() && mailbox_.empty(); }
+  bool unused() const { return retired_ && links_.empty() && waiting_.empty() && mailbox_.empty(); }
 
  private:
   struct Link;
@@ -48,6 +52,7 @@
   };
   struct Link {  // one connection
     Link(Scheduler& scheduler, Signal& signal, std::function<void()> late);
+    std::unique_ptr<LinkRoom::Place> place;
     Stream stream;
     EngineReader reader;
     Timer timer;  // the connection's own: it must come up, or be heard, in time, and is closed when idle
@@ -62,7 +67,17 @@
     std::map<std::string, double, std::less<>> dropped;                 // ended when: an answer may come yet
   };
 
+  struct Waiting {  // a send for which there is no connection yet: it has not been tried
+    Waiting(Scheduler& scheduler, std::function<void()> late) : deadline(scheduler, std::move(late)) {}
+    std::shared_ptr<Ticket> ticket;
+    double until = 0;
+    Timer deadline;
+  };
+
   Task run();
+  void begin(std::shared_ptr<Ticket> ticket, double until);
+  void beginWaiting();
+  void endWaiting(const Ticket& ticket, Ending ending);
   void serve(Link& link);
   void heed(Link& link, EngineAnswer& answer);
   void heedPage(Link& link, Send& send, EngineAnswer& answer);
@@ -70,8 +85,8 @@
   void listen(Send& send);
   void lost(Link& link);
 
-  Link& linkFor(const Ticket& ticket);
-  Link& linkForProbe();
+  Link* linkFor(const Ticket& ticket);
+  Link* linkForProbe();
   Link& connect();
   void late(Link& link);
   void write(Link& link, Send& send);
@@ -91,6 +106,7 @@
   Desk& desk_;
   uint32_t id_;
   const size_t& most_;
+  LinkRoom& room_;
   Address address_;
   std::optional<double> started_;
   bool retired_ = false;
@@ -100,6 +116,7 @@
   Signal signal_;
   Mailbox mailbox_;
   std::list<std::unique_ptr<Link>> links_;
+  std::list<std::unique_ptr<Waiting>> waiting_;
   Task task_;
 };
 
--- a/src/serve/fleet.cpp
+++ b/src/serve/fleet.cpp
@@ -15,6 +15,7 @@
 // A change log that refuses, or breaks off before its first frame, is asked again as often as this: at once each
 // time, it would take the core.
 constexpr double kPause = 0.1;
+constexpr size_t kLeastLinks = 8;  // however few descriptors there are
 constexpr size_t kMostIn = 2 * FrameReader::kMostFrame, kMostOut = 64;
 
 }  // namespace
@@ -27,7 +28,8 @@
       mailbox_(signal_),
       timer_(scheduler, [this] { late_ = true, signal_.raise(); }),
       changeLog_(config.changeLog),
-      reader_(config.links.zones, config.links.kinds) {}
+      reader_(config.links.zones, config.links.kinds),
+      room_(std::max(config.sockets / 3, kLeastLinks)) {}
 
 void Fleet::start() {
   for (auto& event : config_.known) apply(event);
@@ -108,7 +110,8 @@
     if (listing.bornMs > 0) row.startedAt = scheduler_.clock().fromUnix(listing.bornMs);
     named.insert(row.id);
     auto& engine = engines_[row.id];
-    if (!engine) engine = std::make_unique<Engine>(scheduler_, config_.links, desk_, row.id, linksEach_);
+    if (!engine)
+      engine = std::make_unique<Engine>(scheduler_, config_.links, desk_, row.id, linksEach_, room_);
     if (row.state == NodeState::inService) engine->place(listing.address, row.startedAt);
     else engine->retire();
   }
--- a/src/serve/fleet.h
+++ b/src/serve/fleet.h
@@ -41,6 +41,7 @@
   FrameReader reader_;
   uint64_t last_ = 0;     // number of the last event that is known
   size_t linksEach_ = 1;  // connections that one engine should do with
+  LinkRoom room_;         // of all engines' connections
   std::unordered_map<uint32_t, std::unique_ptr<Engine>> engines_;
   Task task_;
 };
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -194,7 +194,8 @@
   REQUIRE_EQ(::listen(listener, 5), 0);
   ::getsockname(listener, reinterpret_cast<sockaddr*>(&native), &size);
   size_t most = 1;
-  Engine engine(loop.scheduler, links, desk, 7, most);
+  LinkRoom room(8);
+  Engine engine(loop.scheduler, links, desk, 7, most, room);
   engine.place({INADDR_LOOPBACK, ntohs(native.sin_port)}, std::nullopt);
   auto ticket = std::make_shared<Ticket>();
   ticket->ask.id = "9b1f", ticket->ask.profile = "quick", ticket->ask.statement = "x";
