Loans of fleet-wide amounts, their model; members: told of an earlier life, fuzzed, sanitized

Loans (src/shared, pure, not wired yet): an amount of the whole fleet is divided so that what all may use never adds up to more, without agreement. 2 of 100 parts stay with each member, the rest moves by loans with an end.

Settings that name 1,024 gateways: module, drill and program tested.

--- /dev/null
+++ b/src/lab/lending.h
@@ -0,0 +1,61 @@
+// Many members' loans in virtual time: clocks that differ and run at other speeds, letters that are delayed, lost,
+// copied and overtaken, cuts, processes that stop, die and start anew having forgotten all. After every step the sum of
+// what all may use is compared with the amount. The same seed gives the same run.
+#pragma once
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/events.h"
+#include "pcg32.h"
+#include "shared/loans.h"
+
+namespace elmcleat::lab {
+
+class Lending {
+ public:
+  Lending(shared::LoanTerms terms, uint64_t seed, double drift = 1e-3);
+
+  double least = 0.001, most = 0.005, loss = 0, copies = 0;  // of all letters; seconds, parts
+  double lateShare = 0, late = 0;                            // a part of them takes up to so long
+
+  void want(int member, size_t amount, double units);
+  void kill(int member);
+  void start(int member);  // a new life
+  void pause(int member, bool is);
+  void cut(int from, int to, bool is) { cut_[size_t(from)][size_t(to)] = is; }
+  void part(int from, int to, bool is);  // members from..to-1 from all others, both ways
+  void run(double until);
+  double now() const { return now_; }
+  bool runs(int member) const { return hosts_[size_t(member)].loans && !hosts_[size_t(member)].paused; }
+
+  double usable(int member, size_t amount) const;  // 0: it does not run
+  double usable(size_t amount) const;              // of all together, those included that stand still
+  double used(size_t amount) const;                // of that, what they want
+  const std::string& broken() const { return broken_; }
+  uint64_t letters() const { return letters_; }
+
+ private:
+  struct Host {
+    std::unique_ptr<shared::Loans> loans;
+    double offset = 0, speed = 1;
+    bool paused = false;
+    uint64_t version = 0;
+    std::vector<shared::Letter> waiting;
+    std::vector<double> wants;
+  };
+  double clock(const Host& host) const { return host.offset + host.speed * now_; }
+  void turn(int member);
+  void check();
+
+  shared::LoanTerms terms_;
+  Pcg32 chance_;
+  Events events_;
+  double now_ = 0;
+  uint64_t lives_ = 0, letters_ = 0;
+  std::vector<Host> hosts_;
+  std::vector<std::vector<bool>> cut_;
+  std::string broken_;
+};
+
+}  // namespace elmcleat::lab
--- a/src/members/core.cpp
+++ b/src/members/core.cpp
@@ -89,9 +89,10 @@
       ++probe.helpers, ++probe.nacksDue;
     }
   }
-  auto over = std::ranges::stable_partition(probing_, [&](auto& probe) { return now_ < probe.endsAt; });
-  std::vector<Probe> late(over.begin(), over.end());
-  probing_.erase(over.begin(), over.end());
+  auto over = std::stable_partition(probing_.begin(), probing_.end(),
+                                    [&](auto& probe) { return now_ < probe.endsAt; });
+  std::vector<Probe> late(over, probing_.end());
+  probing_.erase(over, probing_.end());
   for (auto& probe : late) failed(probe);
   if (now_ >= nextProbe_) {
     double each = plan_.period * (alarmed() ? kAlarmed : 1);
@@ -140,9 +141,17 @@
   tick(now);
   if (message.from == self_) return wrong(Wrong::twoUnderOneName);
   if (message.to != self_) return wrong(Wrong::misdirected);
-  if (!fresh(message)) return wrong(Wrong::replayed);
   Member from = message.from;
   Record& sender = at(from);
+  if (!fresh(message)) {
+    // A copy, or a process whose clock went back and whose name an earlier life has carried further: it has to hear
+    // that, or nobody would ever hear it, if the earlier life left and is asked no more.
+    if (!aside_ && message.instance < sender.claim.instance && now_ >= sender.correctedAt + plan_.period) {
+      sender.correctedAt = now_;
+      say(Kind::news, from).rows.push_back({from, sender.claim});
+    }
+    return wrong(Wrong::replayed);
+  }
   sender.heardAt = heardAt_ = now_;
   if (aside_) return;
   sender.said = {message.instance, message.incarnation, State::alive};
--- a/src/members/core.h
+++ b/src/members/core.h
@@ -8,6 +8,7 @@
 // suspectMost to suspectLeast), or at once by a greater incarnation from the member itself. Whoever finds its own
 // probes failing without cause waits longer (`strain`): a slow process must not declare the quick ones down.
 #pragma once
+#include <cmath>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -65,7 +66,7 @@
   };
   struct Record {
     Claim claim, said;  // what is known of it; what it said of itself last
-    double heardAt = -1;
+    double heardAt = -1, correctedAt = -HUGE_VAL;
     std::optional<Suspicion> suspicion;
     int tellings = 0;  // how often its news is still to be told
     uint64_t heardInstance = 0, top = 0,
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -55,6 +55,19 @@
   "budgets.cores: is 10, but 13 are guaranteed"; do
   expect "an unsound plan: $pattern" 1 "$pattern" "$program" check "$folder/unsound.json"
 done
+cat >"$folder/members.json" <<'JSON'
+{"members": {"fleet": "", "perodS": 1, "suspectLeastS": 0.2, "suspectMostS": 0.1, "peers": [
+  {"name": "n1", "at": "10.0.0.4:4300"}, {"name": "n1", "at": "10.0.0.5:4300"},
+  {"name": "n2", "at": "10.0.0.4:4300"}, {"name": "n3", "at": "n3.svc:4300"}]}}
+JSON
+for pattern in 'members.fleet: found ""; allowed is .*minLength' \
+  "members.perodS: is no key here; the nearest known one is 'periodS'" \
+  "members.peers\[1\].name: 'n1' is there already, as peers\[0\]" \
+  "members.peers\[2\].at: 10.0.0.4:4300 is that of peers\[0\]" \
+  "members.peers\[3\].at: found 'n3.svc:4300'; allowed is an IPv4 address and a port" \
+  "members.suspectMostS: is 0.1.*, below suspectLeastS" "members.suspectLeastS: is 0.2.*, below periodS"; do
+  expect "unsound members: $pattern" 1 "$pattern" "$program" check "$folder/members.json"
+done
 echo '{"budgets": {"nodes": [{"name": "a", "guarantee": {"cores": NaN}}]}}' >"$folder/nan.json"
 expect "not a number" 1 'nan.json: is no JSON: .*NaN|nan.json: is no JSON' "$program" check "$folder/nan.json"
 echo '[]' >"$folder/list.json"
--- a/tests/drill.sh
+++ b/tests/drill.sh
@@ -51,4 +51,12 @@
 $(start 1 7)
 {\"kind\":\"WITHDRAWN\",\"who\":1,\"rid\":\"00000000000000aa\"}
 $eob"
+many=${config/\"balancers\":1,/\"balancers\":1024,\"ordinal\":1023,}
+[ "$many" != "$config" ] || { echo "FAILED: the many are not set"; fails=1; }
+config=$many
+thousand="$frame
+$(for i in $(seq 1 1024); do start "$i" 7; done)
+$(ask 1024 00000000000000cc)
+$eob"
+expect "1,024 gateways, all in one host: the last one serves" 0 '"node":7,"rid":"00000000000000cc","who":1024' "$thousand"
 exit $fails
--- /dev/null
+++ b/tests/fuzz/members_fuzz.cpp
@@ -0,0 +1,73 @@
+// What comes from peers, as a fuzzer makes it up: bytes with a right sum, read and heard by a core of a fleet of eight.
+// The first byte says how far the clock goes on; the rest are messages, each after two bytes with its length. With
+// clang's libFuzzer (ELMCLEAT_FUZZ) it searches; without it plays the files that it is given, as CI does with the corpus.
+#include <cstdint>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <string>
+
+#include "lab/gossip.h"
+
+using namespace elmcleat;
+using namespace elmcleat::members;
+
+namespace {
+
+std::string sealed(const std::string& body) {
+  uint64_t sum = checksum(body);
+  std::string bytes;
+  for (size_t i = 0; i < 8; ++i) bytes += char(sum >> (8 * i) & 0xff);
+  return bytes + body;
+}
+
+void must(bool holds, const char* what) {
+  if (holds) return;
+  std::cerr << "broken: " << what << std::endl;
+  std::abort();
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  static const Plan plan = lab::Gossip::plan(8);
+  static const Wire wire(plan);
+  std::string in(reinterpret_cast<const char*>(data), size);
+  if (in.size() < 3) return 0;
+  double now = 0, step = static_cast<unsigned char>(in[0]) / 32.0;
+  Core core(plan, 0, {5, 1}, 1, now);
+  for (size_t at = 1; at + 2 <= in.size(); now += step) {
+    size_t length = size_t(static_cast<unsigned char>(in[at])) << 8 | static_cast<unsigned char>(in[at + 1]);
+    std::string bytes = sealed(in.substr(at + 2, length));
+    at += 2 + length;
+    auto read = wire.read(bytes);
+    if (auto* message = std::get_if<Message>(&read)) {
+      must(message->from >= 0 && message->to >= 0, "a message without its two ends was passed on");
+      for (auto& row : message->rows) must(row.member >= 0 && row.member < 8, "a row names nobody");
+      must(std::holds_alternative<Message>(wire.read(wire.write(*message))),
+           "what was read can't be written and read");
+      core.hear(now, *message);
+    }
+    core.tick(now);
+    for (auto& message : core.out()) must(wire.write(message).size() <= kMostBytes, "too large a message");
+    const Claim& own = core.claimOf(0);
+    must(core.aside() || own.state == State::alive, "it was talked into its own end");
+    must(core.life().incarnation < (uint64_t{1} << 62) + 1000, "numbers ran away");
+    must(core.wakes() >= 0, "it wants to be woken in the past");
+  }
+  return 0;
+}
+
+#ifndef ELMCLEAT_FUZZ
+int main(int count, char** files) {
+  for (int i = 1; i < count; ++i) {
+    std::ifstream file(files[i], std::ios::binary);
+    std::string bytes{std::istreambuf_iterator<char>(file), {}};
+    if (bytes.empty()) return std::cerr << files[i] << ": nothing to read\n", 1;
+    LLVMFuzzerTestOneInput(reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size());
+  }
+  std::cout << count - 1 << " files played\n";
+  return count > 1 ? 0 : 1;
+}
+#endif
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -722,6 +722,19 @@
   CHECK_EQ(service.log().find("out of descriptors"), std::string::npos);
 }
 
+TEST_CASE("settings that name 1,024 gateways: the last of them serves from its first command") {
+  Engines engines(2);
+  Service service(engines, 2);
+  service.config["settings"]["balancers"] = 1024, service.config["settings"]["ordinal"] = 1023;
+  service.start(), service.ready();
+  auto client = service.client();
+  for (int id = 1; id <= 20; ++id) {
+    client->write(post(id, "quick", 6000, "", "SELECT 1 FROM sales_" + std::to_string(id) + ".t"));
+    engines.next().hit();
+    CHECK_EQ(answer(*client), kServed);
+  }
+}
+
 TEST_CASE("members are off unless asked for, and not without the platform's leave") {
   Engines engines(1);
   Service service(engines, 1);
--- /dev/null
+++ b/tests/shared_test.cpp
@@ -0,0 +1,172 @@
+// Fleet-wide amounts: whatever happens, what all may use together never exceeds them; and what there is gets to where it
+// is wanted. ELMCLEAT_SEED=n plays one seed of the random faults, ELMCLEAT_SEEDS=n so many.
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+
+#include "lab/lending.h"
+
+using namespace elmcleat;
+using namespace elmcleat::shared;
+using lab::Lending;
+
+namespace {
+
+LoanTerms terms(int members, std::vector<double> amounts = {100}) {
+  LoanTerms terms;
+  terms.members = members, terms.amounts = std::move(amounts);
+  return terms;
+}
+const double kOver = 2 + 4 * 0.1;  // seconds: a loan and its guards
+
+Letter letter(Letter::Kind kind, int from, int to, uint64_t life, uint64_t number, double units = 0) {
+  return {kind, from, to, life, number, {{0, units, 0}}};
+}
+
+}  // namespace
+
+TEST_CASE("what moves to a tenth of the members is usable there within 2 s, and again by all later") {
+  Lending fleet(terms(100, {100, 30}), 3);
+  for (int i = 0; i < 100; ++i) fleet.want(i, 0, 0.9), fleet.want(i, 1, 0.2);
+  fleet.run(10);
+  CHECK_GT(fleet.used(0), 89.9);
+  for (int i = 0; i < 100; ++i) fleet.want(i, 0, i < 10 ? 20 : 0), fleet.want(i, 1, i >= 90 ? 6 : 0);
+  fleet.run(12);
+  CHECK_GT(fleet.used(0), 97);  // all but what the others keep
+  CHECK_GT(fleet.used(1), 0.97 * 30);
+  for (int i = 0; i < 100; ++i) fleet.want(i, 0, 0.9);
+  fleet.run(12 + kOver + 0.5);
+  CHECK_GT(fleet.used(0), 88);
+  CHECK_EQ(fleet.broken(), "");
+}
+
+TEST_CASE("with a third cut off the rest uses its own parts; those apart use theirs") {
+  Lending fleet(terms(90), 5);
+  fleet.run(5);
+  fleet.part(0, 30, true);
+  for (int i = 0; i < 90; ++i) fleet.want(i, 0, i >= 30 && i < 39 ? 20 : 0);
+  fleet.run(8 + kOver);
+  CHECK_GT(fleet.used(0), 60);
+  CHECK_EQ(fleet.broken(), "");
+}
+
+TEST_CASE("a borrower that was stopped past the end of its loan has not one unit of it when it goes on") {
+  Lending fleet(terms(4), 7);
+  fleet.want(0, 0, 90);
+  fleet.run(6);
+  REQUIRE_GT(fleet.usable(0, 0), 90);
+  fleet.pause(0, true);
+  fleet.run(6 + kOver);
+  CHECK_LE(fleet.usable(0, 0), 25);  // by its own clock, before it has done anything
+  fleet.pause(0, false);
+  CHECK_LE(fleet.usable(0, 0), 25);
+  fleet.run(12);
+  CHECK_GT(fleet.usable(0, 0), 90);
+  CHECK_EQ(fleet.broken(), "");
+}
+
+TEST_CASE("a lender that starts anew uses what it keeps alone until what it may have lent is over") {
+  Lending fleet(terms(4), 9);
+  fleet.want(0, 0, 90);
+  fleet.run(6);
+  for (int i = 1; i < 4; ++i) {
+    fleet.kill(i), fleet.start(i);
+    fleet.want(i, 0, 25);
+    CHECK_LE(fleet.usable(i, 0), 25 * 0.02 + 1e-9);
+  }
+  fleet.run(6.5);
+  CHECK_GT(fleet.usable(0, 0), 70);  // its loans hold for now, though nobody remembers them
+  fleet.run(6 + kOver + 1);
+  for (int i = 1; i < 4; ++i) CHECK_GT(fleet.usable(i, 0), 24);
+  CHECK_EQ(fleet.broken(), "");
+}
+
+TEST_CASE("letters of an earlier life, copies, late answers and nonsense move nothing") {
+  Loans one(terms(3, {90}), 0, 5, 1, 0);
+  one.want(0, 60);
+  one.tick(3);
+  auto asks = one.out();
+  REQUIRE_EQ(asks.size(), 2);
+  int lender = asks[0].to;
+  double own = one.usable(0, 3);
+  CHECK_EQ(own, 30);
+  one.hear(3.1, letter(Letter::Kind::grant, lender, 0, 4, asks[0].number, 20));      // another life's
+  one.hear(3.1, letter(Letter::Kind::grant, lender, 0, 5, asks[0].number + 7, 20));  // never asked
+  one.hear(3.1, letter(Letter::Kind::grant, 0, 0, 5, asks[0].number, 20));           // from itself
+  one.hear(3.1, letter(Letter::Kind::grant, 7, 0, 5, asks[0].number, 20));           // nobody
+  Letter odd = letter(Letter::Kind::grant, lender, 0, 5, asks[0].number, -3);
+  one.hear(3.1, odd);
+  odd.lines = {{9, 1, 0}};
+  one.hear(3.1, odd);
+  CHECK_EQ(one.refused(), 6);
+  CHECK_EQ(one.usable(0, 3.1), own);
+  one.hear(3.2,
+           letter(Letter::Kind::grant, lender, 0, 5, asks[0].number, 1000));  // no more than a member has
+  CHECK_EQ(one.usable(0, 3.2), own + 30);
+  one.hear(3.3, letter(Letter::Kind::grant, lender, 0, 5, asks[0].number, 10));  // a copy
+  CHECK_EQ(one.usable(0, 3.3), own + 30);
+  CHECK_EQ(one.usable(0, 3 + 2 - 0.1), own);  // counted from the ask
+  CHECK_EQ(one.parts(0, 3.3).at(3 + 2 - 0.1), own);
+}
+
+TEST_CASE("terms: what no loan could hold by is told") {
+  LoanTerms bad = terms(0, {1, 0});
+  bad.guard = 1, bad.kept = 2;
+  auto flaws = flawsOf(bad);
+  CHECK_EQ(flaws.size(), 4);
+  CHECK(flawsOf(terms(3)).empty());
+}
+
+TEST_CASE("random faults: never over the amount, at any step; and all of it is usable again afterwards") {
+  auto number = [](const char* name, int otherwise) {
+    const char* text = std::getenv(name);
+    return text ? std::atoi(text) : otherwise;
+  };
+  int one = number("ELMCLEAT_SEED", 0);
+#ifdef __SANITIZE_ADDRESS__
+  int last = one ? one : number("ELMCLEAT_SEEDS", 20);
+#else
+  int last = one ? one : number("ELMCLEAT_SEEDS", 200);
+#endif
+  for (int seed = one ? one : 1; seed <= last; ++seed) {
+    CAPTURE(seed);
+    Pcg32 chance{uint64_t(seed)};
+    int count = 2 + int(chance.next() % 24);
+    Lending fleet(terms(count, {100, 7}), uint64_t(seed), 0.02);
+    fleet.loss = chance.between(0, 0.3), fleet.copies = chance.between(0, 0.3);
+    fleet.lateShare = chance.between(0, 0.5), fleet.late = chance.between(0, 6);
+    auto any = [&] { return int(chance.next() % uint32_t(count)); };
+    for (int step = 0; step < 60; ++step) {
+      fleet.run(fleet.now() + chance.between(0.01, 1));
+      int who = any();
+      switch (chance.next() % 6) {
+        case 0:
+          fleet.kill(who);
+          break;
+        case 1:
+          fleet.kill(who), fleet.start(who);
+          break;
+        case 2:
+          fleet.pause(who, chance.next() % 2);
+          break;
+        case 3:
+          fleet.cut(who, any(), chance.next() % 2);
+          break;
+        default:
+          fleet.want(who, chance.next() % 2, chance.next() % 3 ? chance.between(0, 60) : 0);
+      }
+    }
+    REQUIRE_EQ(fleet.broken(), "");
+    for (int a = 0; a < count; ++a) {
+      fleet.pause(a, false);
+      if (!fleet.runs(a)) fleet.start(a);
+      fleet.want(a, 0, a ? 0 : 200), fleet.want(a, 1, a ? 0 : 200);
+      for (int b = 0; b < count; ++b) fleet.cut(a, b, false);
+    }
+    fleet.loss = fleet.copies = fleet.lateShare = 0;
+    fleet.run(fleet.now() + 2 * kOver + 6);
+    CHECK_GT(fleet.used(0), 96);
+    CHECK_GT(fleet.used(1), 0.96 * 7);
+    REQUIRE_EQ(fleet.broken(), "");
+  }
+}
--- /dev/null
+++ b/tests/threads_test.cpp
@@ -0,0 +1,65 @@
+// What two threads share: the hand-over of views, the log, the control thread itself. Built and run under
+// ThreadSanitizer as well.
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <thread>
+
+#include "control/control.h"
+#include "runtime/log.h"
+#include "service.h"
+
+using namespace elmcleat;
+
+TEST_CASE(
+    "the latest of what one thread makes: whole, never older than the one before, the last one in the end") {
+  struct Pair {
+    uint64_t one, two;
+  };
+  Latest<Pair> latest;
+  CHECK_EQ(latest.get(), nullptr);
+  constexpr uint64_t kCount = 100'000;
+  std::thread writer([&] {
+    for (uint64_t i = 1; i <= kCount; ++i) latest.put(std::make_unique<const Pair>(Pair{i, ~i}));
+  });
+  uint64_t last = 0;
+  bool whole = true, onward = true;
+  while (last < kCount) {
+    const Pair* pair = latest.get();
+    if (!pair) continue;
+    whole = whole && pair->two == ~pair->one, onward = onward && pair->one >= last;
+    last = pair->one;
+  }
+  writer.join();
+  CHECK(whole);
+  CHECK(onward);
+  CHECK_EQ(latest.get()->one, kCount);  // and it stays until there is another
+}
+
+TEST_CASE("two control threads find each other, tell their views, and end when told") {
+  Clock clock;
+  sockaddr_in one = Listener().address, two = Listener().address;
+  auto own = [](const sockaddr_in& at) { return Address{ntohl(at.sin_addr.s_addr), ntohs(at.sin_port)}; };
+  members::Plan plan;
+  plan.fleet = "threads", plan.peers = {{"n0", own(one)}, {"n1", own(two)}};
+  Control first(clock, plan, "n0", 1), second(clock, plan, "n1", 2);
+  auto there = [&](Control& control) {
+    const members::View* view = control.latest(clock.now());
+    return view ? view->there : 0;
+  };
+  auto until = [&](size_t wanted) {
+    for (double end = now() + 8; now() < end; pause(0.01)) {
+      info() << "the other thread writes as well";  // to the same log, at the same time
+      if (there(first) == wanted) return true;
+    }
+    return false;
+  };
+  CHECK(until(2));
+  CHECK(second.stop());
+  CHECK(until(1));                                                 // it said goodbye
+  CHECK_THROWS_AS(Control(clock, plan, "n2", 3), members::Fault);  // no such name
+  CHECK_THROWS_AS(Control(clock, plan, "n0", 3), members::Fault);  // taken
+  CHECK_EQ(first.latest(clock.now() + 60), nullptr);               // too old to act on
+  CHECK_NE(first.latest(clock.now()), nullptr);
+  CHECK(first.stop());
+}
