Budget rates go by loans to where they are asked for, between processes and in the laboratory

Need: an equal part of a guarantee at each gateway is of no use to a team whose commands come to a few of them.

Change: section 'shared' beside 'members' and 'budgets': src/shared's loans run on the control thread, letters travel as parcels of members (by name and amount, so differing files lend nothing of what differs). Traffic heeds what may be used, with its ends, before each decision; a grant or a return is sent only once traffic has said that it heeds the view with it, so the sum holds even for that moment, and while traffic hangs nothing is lent. Office::share, Tree::rate. Off without the section.

--- a/src/budget/office.h
+++ b/src/budget/office.h
@@ -1,5 +1,6 @@
 // The budgets as the module meets them (Rights): a tree, and waits told by it. Pure; told the time.
 #pragma once
+#include <cmath>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -8,6 +9,8 @@
 #include "budget/tree.h"
 #include "budget/waits.h"
 #include "policy.h"
+#include "shared/usable.h"
+#include "time_ring.h"
 
 namespace elmcleat::budget {
 
@@ -17,6 +20,13 @@
   Office(const Plan& plan, int gateways);
   void change(const Plan& plan);  // with commands held and out
 
+  // Rates that are shared with other gateways, in the order of fleetRates(plan), instead of an equal part of each. Until
+  // when they hold stands in them: it is looked at before each decision.
+  void share(std::vector<shared::Usable> usable);
+  std::vector<double>
+  wants();  // of the same: cores that there is use for here, by the last second and what is held
+  bool shares() const { return shared_ != nullptr; }
+
   // What a command was told when it came; and what it would be told if it came again now.
   std::optional<Estimate> told(const Command& command) const;
   Estimate again(const Command& command) const;
@@ -46,8 +56,18 @@
     std::optional<Estimate> told;
     bool begun = false;
   };
+  struct Shared {
+    std::vector<FleetRate> rates;
+    std::vector<shared::Usable> usable;
+    std::vector<double> inForce;             // cores
+    std::vector<TimeRing> asked, askedLong;  // work, over one second and over ten
+    std::unordered_map<std::string, std::vector<size_t>> byPath;
+    double changesAt = -HUGE_VAL;  // when something of what is usable ends
+  };
+  void apply();
   Entry& entryOf(const Command& command) const { return *entries_.at(&command); }
 
+  std::unique_ptr<Shared> shared_;  // none: an equal part of all
   Tree tree_;
   Waits waits_;
   double part_, now_ = 0;
--- a/src/budget/plan.cpp
+++ b/src/budget/plan.cpp
@@ -108,4 +108,13 @@
   return faults;
 }
 
+std::vector<FleetRate> fleetRates(const Plan& plan) {
+  std::vector<FleetRate> rates;
+  for (auto& [name, parent, terms] : plan.entries) {
+    if (terms.guarantee.cores.value_or(0) > 0) rates.push_back({name, false, *terms.guarantee.cores});
+    if (terms.ceiling.cores.value_or(0) > 0) rates.push_back({name, true, *terms.ceiling.cores});
+  }
+  return rates;
+}
+
 }  // namespace elmcleat::budget
--- a/src/budget/plan.h
+++ b/src/budget/plan.h
@@ -49,6 +49,16 @@
 // All that no schema can say: parents that are not there, cycles, more guaranteed than there is. Empty: sound.
 std::vector<Fault> faultsOf(const Plan& plan);
 
+// The rates that a plan sets for the whole fleet, in the order of its entries: they may be shared between gateways.
+struct FleetRate {
+  std::string path;  // the node's
+  bool ceiling = false;
+  double cores = 0;
+  bool operator==(const FleetRate&) const = default;
+  std::string name() const { return path + (ceiling ? "#ceiling" : "#guarantee"); }
+};
+std::vector<FleetRate> fleetRates(const Plan& plan);
+
 // The entry under which `entry` stands, by its parent or by its path; none: the root.
 const Entry* parentOf(const Plan& plan, const Entry& entry);
 
--- a/src/budget/tree.cpp
+++ b/src/budget/tree.cpp
@@ -359,6 +359,15 @@
   return at;
 }
 
+void Tree::rate(const std::string& path, bool ceiling, double cores, double now) {
+  auto found = nodes_.find(path);
+  if (found == nodes_.end()) return;
+  Bucket& bucket = ceiling ? found->second->cap : found->second->right;
+  if (bucket.rate > 0 && cores > 0) bucket.emptyAt = now - bucket.work(now) / cores;
+  bucket.rate = cores;
+  refresh(*found->second, now);
+}
+
 // The tree is made anew: what is held finds its leaf in the order of arrival, what is out is charged no second time.
 // Buckets of nodes that stay keep what they owe.
 void Tree::change(const Plan& plan, double part, double now) {
--- a/src/budget/tree.h
+++ b/src/budget/tree.h
@@ -156,6 +156,9 @@
   // Another plan, with commands held and out: what is held finds its place under the new one.
   void change(const Plan& plan, double part, double now);
 
+  // A node's guarantee or ceiling from now on, in cores of this gateway; what is put by, or owed, stays the same work.
+  void rate(const std::string& path, bool ceiling, double cores, double now);
+
   void take(Item& item, double now);                  // has come: finds its leaf
   void hold(Item& item, bool again, double now);      // waits for its turn
   void unhold(Item& item, double now);                // no longer
--- a/src/config/gateway.cpp
+++ b/src/config/gateway.cpp
@@ -63,6 +63,15 @@
   return plan;
 }
 
+shared::LoanTerms readShared(const Section& section, int members, const budget::Plan& budgets) {
+  shared::LoanTerms terms;
+  terms.members = members;
+  terms.kept = section.get("keptPart", terms.kept);
+  terms.length = section.get("loanS", terms.length), terms.guard = section.get("guardS", terms.guard);
+  for (auto& rate : budget::fleetRates(budgets)) terms.amounts.push_back(rate.cores);
+  return terms;
+}
+
 GatewayConfig readGateway(const Json& document, const std::string& path) {
   auto faults = schemaFaults(document, kGatewaySchema, path);
   GatewayConfig config;
@@ -92,6 +101,21 @@
     for (auto& flaw : members::flawsOf(*config.members))
       faults.push_back(path + ": members." + flaw.key + ": " + flaw.why);
   });
+  read("shared", [&](const Section& section) {
+    if (!config.members || !config.budgets) {
+      faults.push_back(path +
+                       ": shared: needs the sections members and budgets: they say with whom and what");
+      return;
+    }
+    config.shared = readShared(section, int(config.members->peers.size()), *config.budgets);
+    for (auto& flaw : shared::flawsOf(*config.shared))
+      faults.push_back(path + ": shared." + flaw.key + ": " + flaw.why);
+    if (config.shared->length + 2 * config.shared->guard > config.members->longestPromise)
+      faults.push_back(path + ": shared.loanS: with its guards it is longer than members.longestPromiseS");
+    if (config.shared->amounts.empty())
+      faults.push_back(path +
+                       ": shared: budgets name no guarantee and no ceiling in cores: nothing is shared");
+  });
   if (!faults.empty()) throw Faults(std::move(faults));
   return config;
 }
--- a/src/config/gateway.h
+++ b/src/config/gateway.h
@@ -7,12 +7,14 @@
 #include "budget/plan.h"
 #include "config/schema.h"
 #include "members/plan.h"
+#include "shared/loans.h"
 
 namespace elmcleat {
 
 struct GatewayConfig {
-  std::optional<budget::Plan> budgets;   // none: the module's own turns decide alone
-  std::optional<members::Plan> members;  // none: this process speaks with no other
+  std::optional<budget::Plan> budgets;      // none: the module's own turns decide alone
+  std::optional<members::Plan> members;     // none: this process speaks with no other
+  std::optional<shared::LoanTerms> shared;  // none: budgets are divided equally; else by loans
 };
 
 // Throws Faults, with all that is wrong.
@@ -22,5 +24,7 @@
 // The sections by themselves; the laboratory's scenarios hold them too.
 budget::Plan readBudgets(const Section& section);
 members::Plan readMembers(const Section& section);
+// Members and amounts are those of the whole fleet.
+shared::LoanTerms readShared(const Section& section, int members, const budget::Plan& budgets);
 
 }  // namespace elmcleat
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -5,19 +5,23 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <cmath>
 #include <cstdlib>
+#include <deque>
 #include <exception>
 
 #include "members/core.h"
 #include "members/shell.h"
 #include "runtime/log.h"
+#include "shared/wire.h"
 
 namespace elmcleat {
 namespace {
 
-constexpr double kTellEach = 0.1;  // seconds from one view to the next, if nothing happens
-constexpr double kStaleAfter = 2;  // age of a view beyond which traffic goes on without what is shared
-constexpr double kStopTime = 1;    // seconds that the thread is given to end
+constexpr double kTellEach = 0.1;   // seconds from one view to the next, if nothing happens
+constexpr double kHeedEach = 0.01;  // seconds until letters that wait for traffic are looked at again
+constexpr double kStaleAfter = 2;   // age of a view beyond which traffic goes on without what is shared
+constexpr double kStopTime = 1;     // seconds that the thread is given to end
 
 members::Member placeOf(const members::Plan& plan, const std::string& name) {
   for (size_t i = 0; i < plan.peers.size(); ++i)
@@ -36,28 +40,46 @@
 }  // namespace
 
 struct Control::Inside {
-  Inside(const Clock& clock, const members::Plan& given, members::Member self, uint64_t seed)
+  Inside(const Clock& clock, const members::Plan& given, members::Member its, uint64_t seed,
+         const std::optional<Sharing>& sharing)
       : plan(given),
+        self(its),
+        life(newLife()),
         scheduler(clock),
-        core(plan, self, newLife(), seed, clock.now()),
+        core(plan, self, life, seed, clock.now()),
         shell(scheduler, plan, self, core),
-        signal(scheduler) {}
+        signal(scheduler) {
+    if (!sharing) return;
+    std::vector<std::string> names;
+    for (auto& rate : sharing->rates) names.push_back(rate.name());
+    wire = std::make_unique<shared::LetterWire>(names, sharing->terms.amounts);
+    loans = std::make_unique<shared::Loans>(sharing->terms, self, life.instance, seed, clock.now());
+  }
 
   members::Plan plan;
+  members::Member self;
+  members::Life life;
   Scheduler scheduler;
   members::Core core;
   members::Shell shell;
   Signal signal;  // stop() may have been called
   double toldAt = -1;
+  uint64_t told = 0;  // the number of the last view
+  std::unique_ptr<shared::LetterWire> wire;
+  std::unique_ptr<shared::Loans> loans;  // none: nothing is shared
+  // Letters that rest on what traffic has to heed first, with the view that tells it so.
+  std::deque<std::pair<uint64_t, shared::Letter>> waiting;
 };
 
-Control::Control(const Clock& clock, const members::Plan& plan, const std::string& name, uint64_t seed)
+Control::Control(const Clock& clock, const members::Plan& plan, const std::string& name, uint64_t seed,
+                 const std::optional<Sharing>& sharing)
     : clock_(clock),
       startedAt_(clock.now()),
-      inside_(std::make_unique<Inside>(clock, plan, placeOf(plan, name), seed)) {
+      inside_(std::make_unique<Inside>(clock, plan, placeOf(plan, name), seed, sharing)) {
   wake_ = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  tell(*inside_, clock.now());  // there is something to go by from the first command on
   info() << "members: fleet '" << plan.fleet << "', " << plan.peers.size() << " listed; listens on "
-         << textOf(plan.peers[size_t(placeOf(plan, name))].at);
+         << textOf(plan.peers[size_t(inside_->self)].at);
   thread_ = std::thread([this] {
     pthread_setname_np(pthread_self(), "control");
     run();
@@ -76,29 +98,68 @@
   inside.scheduler.stop();
 }
 
+void Control::tell(Inside& inside, double now) {
+  auto told = std::make_unique<Told>();
+  told->members = inside.core.view(now);
+  for (size_t i = 0; inside.loans && i < inside.loans->amounts(); ++i)
+    told->usable.push_back(inside.loans->parts(i, now));
+  inside.toldAt = now, inside.told = told->members.number;
+  told_.put(std::move(told));
+}
+
+// A grant is a promise not to use what is granted, a return one not to use what was borrowed: neither goes out before
+// traffic has said that it heeds the view with it. So what all use never adds up to more, not even for the moment until
+// traffic looks; while it hangs nothing is lent.
+void Control::lend(Inside& inside, double now) {
+  auto& loans = inside.loans;
+  auto& core = inside.core;
+  if (const auto* wants = wants_.get())
+    for (size_t i = 0; i < wants->size() && i < loans->amounts(); ++i) loans->want(i, (*wants)[i]);
+  for (size_t i = 0; i < inside.plan.peers.size(); ++i)
+    loans->there(int(i), core.claimOf(members::Member(i)).state == members::State::alive);
+  for (auto& parcel : core.parcels()) {
+    auto letter = inside.wire->read(parcel.bytes, parcel.from, inside.self);
+    if (letter) loans->hear(now, *letter);
+    else core.wrong(members::Wrong::undecodable);
+  }
+  loans->tick(now);
+  auto letters = loans->out();
+  if (!letters.empty()) tell(inside, now);
+  for (auto& letter : letters) inside.waiting.emplace_back(inside.told, std::move(letter));
+  uint64_t heeded = heeded_.load(std::memory_order_acquire);
+  std::erase_if(inside.waiting, [&](auto& one) {
+    auto& [number, letter] = one;
+    if (letter.kind != shared::Letter::Kind::ask && number > heeded) return false;
+    core.post(letter.to, inside.wire->write(letter));
+    return true;
+  });
+}
+
 void Control::run() {
   try {
-    auto& [plan, scheduler, core, shell, signal, toldAt] = *inside_;
-    Descriptor wake(scheduler, ::dup(wake_), signal);
-    Task leaving = leave(*inside_, wake);
+    Inside& inside = *inside_;
+    Descriptor wake(inside.scheduler, ::dup(wake_), inside.signal);
+    Task leaving = leave(inside, wake);
     leaving.start();
-    shell.start([this] {
-      auto& [plan_, scheduler_, core_, shell_, signal_, told] = *inside_;
-      auto happened = core_.happened();
+    inside.shell.start([this, &inside] {
+      double now = inside.scheduler.now();
+      auto happened = inside.core.happened();
       for (auto& event : happened) {
-        const std::string& who = plan_.peers[size_t(event.member)].name;
+        const std::string& who = inside.plan.peers[size_t(event.member)].name;
         if (event.wrong) error() << members::lineOf(*event.wrong, event.why, who);
         else
           info().with("member", who) << "members: " << who << " is " << members::nameOf(event.state) << ", "
                                      << event.why;
       }
-      double now = scheduler_.now();
-      if (happened.empty() && now < told + kTellEach) return;
-      told = now;
-      views_.put(std::make_unique<const members::View>(core_.view(now)));
+      if (!happened.empty() || now >= inside.toldAt + kTellEach) tell(inside, now);
+      if (!inside.loans) return HUGE_VAL;
+      lend(inside, now);
+      inside.shell.send();
+      // While letters wait for traffic, soon again: it looks every few milliseconds.
+      return inside.waiting.empty() ? inside.loans->wakes() : now + kHeedEach;
     });
-    scheduler.run();
-    if (auto fault = shell.fault()) std::rethrow_exception(fault);
+    inside.scheduler.run();
+    if (auto fault = inside.shell.fault()) std::rethrow_exception(fault);
   } catch (const std::exception& fault) {
     error() << members::lineOf(members::Wrong::controlEnded, fault.what(), "control thread");
   }
@@ -106,16 +167,16 @@
 }
 
 // --- traffic
-const members::View* Control::latest(double now) {
-  const members::View* view = views_.get();
-  double age = now - (view ? view->at : startedAt_);
+const Told* Control::latest(double now) {
+  const Told* told = told_.get();
+  double age = now - (told ? told->members.at : startedAt_);
   bool stale = age > kStaleAfter;
   if (stale && !silent_)
     warn() << members::lineOf(members::Wrong::controlSilent, "nothing told for " + std::to_string(age) + " s",
                               "control thread");
   if (!stale && silent_) info() << "members: the control thread tells again";
   silent_ = stale;
-  return stale ? nullptr : view;
+  return stale ? nullptr : told;
 }
 
 void Control::watch(Scheduler& traffic) {
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -4,29 +4,53 @@
 #pragma once
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
+#include "budget/plan.h"
 #include "members/plan.h"
 #include "members/view.h"
 #include "runtime/latest.h"
 #include "runtime/scheduler.h"
+#include "shared/loans.h"
 
 namespace elmcleat {
 
+// What control state is to a traffic thread, at one moment.
+struct Told {
+  members::View members;
+  std::vector<shared::Usable> usable;  // of the rates that are shared, in the order of budget::fleetRates()
+};
+
+// Rates of budgets that go to where they are asked for.
+struct Sharing {
+  shared::LoanTerms terms;
+  std::vector<budget::FleetRate> rates;
+};
+
 class Control {
  public:
   // Binds the sockets, so that the start ends with what is wrong: members::Fault. `name` is this process's; the clock is
   // that of both threads, so that ages can be told.
-  Control(const Clock& clock, const members::Plan& plan, const std::string& name, uint64_t seed);
+  Control(const Clock& clock, const members::Plan& plan, const std::string& name, uint64_t seed,
+          const std::optional<Sharing>& sharing = {});
   Control(const Control&) = delete;
   Control& operator=(const Control&) = delete;
   ~Control();
 
   // All that follows is for the traffic thread. The latest view, or null where there is none or it is too old to act on.
-  const members::View* latest(double now);
+  const Told* latest(double now);
   // Looks now and then whether the control thread still tells something, and logs when that changes.
   void watch(Scheduler& traffic);
+  // The latest of what may be used, whatever its age: each loan in it holds until its own end. `number` is that of its
+  // view; once it is in force here, heeded(number) lets go what rests on it.
+  const Told* usable() { return told_.get(); }
+  void heeded(uint64_t number) { heeded_.store(number, std::memory_order_release); }
+  void want(std::vector<double> cores) {
+    wants_.put(std::make_unique<const std::vector<double>>(std::move(cores)));
+  }
 
   // Says goodbye to the others and ends the thread. It is given a bounded time; false: it hangs, and can't be waited for.
   bool stop();
@@ -34,12 +58,16 @@
  private:
   struct Inside;
   void run();
+  void tell(Inside& inside, double now);
+  void lend(Inside& inside, double now);
   Task leave(Inside& inside, const Descriptor& wake);
 
   const Clock& clock_;
   double startedAt_;
   std::unique_ptr<Inside> inside_;
-  Latest<members::View> views_;
+  Latest<Told> told_;
+  Latest<std::vector<double>> wants_;  // the other way: cores that there is use for
+  std::atomic<uint64_t> heeded_{0};
   std::atomic<bool> ended_{false};
   int wake_ = -1;  // an eventfd: stop() has been called
   bool silent_ = false;
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -67,6 +67,7 @@
     Team& team = scene.teams.emplace_back();
     team.name = row.need<std::string>("name"), team.rate = row.get("rate", 10.0);
     team.users = row.get("users", 0), team.estimateOver = row.get("estimateOver", 1.0);
+    team.gates = row.get("gates", 1.0);
     for (auto& mix : row.rows("mix"))
       team.mix.push_back({mix.need<std::string>("profile"), mix.get("part", 1.0)});
     if (team.mix.empty())
@@ -81,6 +82,13 @@
     for (auto& fault : budget::faultsOf(*scene.budgets))
       faults.push_back(path + ": budgets." + fault.key + ": " + fault.why);
   }
+  if (file.has("shared") && scene.budgets) {
+    const Section section = file.part("shared");
+    auto terms = readShared(section, f.gateways, *scene.budgets);
+    for (auto& flaw : shared::flawsOf(terms))
+      faults.push_back(path + ": shared." + flaw.key + ": " + flaw.why);
+    scene.shared = terms;
+  }
   scene.against = file.get("against", scene.against);
   for (auto& row : file.rows("expect")) {
     Expect expect{row.need<std::string>("figure"), {}, {}};
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -8,6 +8,7 @@
 #include "budget/plan.h"
 #include "config/schema.h"
 #include "policy.h"
+#include "shared/loans.h"
 
 namespace elmcleat::lab {
 
@@ -39,6 +40,7 @@
   double rate = 10;         // commands a second, of the whole installation
   int users = 0;            // names below it, each as likely; 0: none
   double estimateOver = 1;  // work over its estimate
+  double gates = 1;         // part of the gateways that its commands come to
   std::vector<ProfileMix> mix;
 };
 struct Work {                       // of a profile's commands
@@ -69,9 +71,10 @@
   std::vector<Team> teams;
   std::vector<Trouble> troubles;
   std::optional<budget::Plan> budgets;
-  Json budgetsText;                  // the same as it stands in the file, for the program
-  double retries = 0;                // times that a client asks again after a shed, after a second
-  std::vector<std::string> against;  // plain, calm, fifo, random
+  std::optional<shared::LoanTerms> shared;  // budgets by loans; members and amounts are the fleet's
+  Json budgetsText;                         // the same as it stands in the file, for the program
+  double retries = 0;                       // times that a client asks again after a shed, after a second
+  std::vector<std::string> against;         // plain, apart, calm, fifo, random
   std::vector<Expect> expect;
 };
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -65,6 +65,7 @@
       if (variant.deciding == Deciding::module) {
         if (world.scene_.budgets && variant.budgets) {
           office = std::make_unique<budget::Office>(*world.scene_.budgets, world.scene_.fleet.gateways);
+          if (world.scene_.shared && variant.sharing) lend();
           office->onWait([this](Command& command, budget::Estimate told, double seen) {
             auto known = numbers.find(&command);
             if (known == numbers.end()) return;
@@ -84,6 +85,38 @@
     }
     ~Gate() override { gateway.reset(), commands.clear(), out.clear(); }
 
+    // Loans between gateways: a look ten times a second, letters with the fleet's delay.
+    void lend() {
+      loans = std::make_unique<shared::Loans>(*world.scene_.shared, int(number), world.seed_ + 1,
+                                              world.seed_ * 77 + number, world.now_);
+      look();
+    }
+    void look() {
+      office->at(world.now_);
+      office->share(usable());
+      auto wants = office->wants();
+      for (size_t i = 0; i < wants.size(); ++i) loans->want(i, wants[i]);
+      loans->tick(world.now_);
+      post();
+      world.events_.at(std::max(loans->wakes(), world.now_ + 0.001), [this] { look(); });
+    }
+    void post() {
+      office->share(usable());  // before a letter that rests on it is on its way
+      for (auto& letter : loans->out())
+        world.events_.at(world.now_ + world.scene_.fleet.delay, [this, letter] {
+          Gate& to = *world.gates_[size_t(letter.to)];
+          to.loans->hear(world.now_, letter);
+          to.office->at(world.now_);
+          to.post();
+        });
+    }
+    std::vector<shared::Usable> usable() {
+      std::vector<shared::Usable> all;
+      for (size_t i = 0; i < world.scene_.shared->amounts.size(); ++i)
+        all.push_back(loans->parts(i, world.now_));
+      return all;
+    }
+
     void tell(const std::function<void()>& what) {
       gateway->at(world.now_);
       what();
@@ -182,6 +215,7 @@
     uint32_t number;
     double wakeAt = -1;
     std::unique_ptr<budget::Office> office;
+    std::unique_ptr<shared::Loans> loans;
     std::unique_ptr<Gateway> gateway;
     std::unordered_map<uint64_t, std::shared_ptr<Command>> commands;
     std::unordered_map<const Command*, uint64_t> numbers, byCommand;
@@ -259,7 +293,8 @@
     arrival.profile = scene_.settings.profiles[profile].name, arrival.tenant = who.name;
     arrival.tables = tables % 64, arrival.work = cost / who.estimateOver, arrival.memoryMb = work.memoryMb;
     if (who.users > 0) arrival.users = {"u" + std::to_string(int(user * who.users))};
-    ask(arrival, team, profile, cost, gate % uint32_t(gates_.size()), record_.asked.size(), 0);
+    auto gates = uint32_t(std::ceil(who.gates * double(gates_.size()) - 1e-9));
+    ask(arrival, team, profile, cost, gate % gates, record_.asked.size(), 0);
   }
   void ask(Arrival arrival, size_t team, size_t profile, double cost, uint32_t gate, uint64_t first,
            int tries) {
@@ -411,6 +446,7 @@
 
 Variant variantNamed(const std::string& name) {
   if (name == "plain") return {name, Deciding::module, false, true};
+  if (name == "apart") return {name, Deciding::module, true, true, false};
   if (name == "calm") return {name, Deciding::module, true, false};
   if (name == "random") return {name, Deciding::random, false, true};
   if (name == "fifo") return {name, Deciding::fifo, false, true};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -66,6 +66,16 @@
   }
 }
 
+// What may be used here of shared rates, looked at ten times as often as it is renewed.
+void heedShared(Control& control, Desk& desk, Timer& again, const Clock& clock) {
+  again.set(clock.now() + 0.02);
+  const Told* told = control.usable();
+  desk.share(told->usable, [&control, number = told->members.number](std::vector<double> wants) {
+    control.want(std::move(wants));
+    control.heeded(number);
+  });
+}
+
 void serve(const Options& options) {
   int heeded = signalDescriptor();  // first of all: no signal ends us from here on
   Log::form(options.form);
@@ -79,7 +89,10 @@
   Clock clock;
   Scheduler scheduler(clock);
   std::unique_ptr<Control> control;
-  if (own.members) control = std::make_unique<Control>(clock, *own.members, config.name, config.seed);
+  std::optional<Sharing> sharing;
+  if (own.shared) sharing = Sharing{*own.shared, budget::fleetRates(*own.budgets)};
+  if (own.members)
+    control = std::make_unique<Control>(clock, *own.members, config.name, config.seed, sharing);
   Signal signal(scheduler);
   Descriptor signals(scheduler, heeded, signal);
   Desk desk(scheduler, config.settings, config.seed, own.budgets);
@@ -87,6 +100,9 @@
   Door door(scheduler, config, desk);
   desk.start(fleet);
   fleet.start();
+  std::optional<Timer> look;
+  auto heed = [&] { heedShared(*control, desk, *look, clock); };
+  if (sharing) look.emplace(scheduler, heed), heed();  // in force before the first command is taken
   door.open();
   Task heeding = heedSignals(options, signals, signal, fleet, desk, door, control != nullptr);
   heeding.start();
--- a/src/members/core.cpp
+++ b/src/members/core.cpp
@@ -202,6 +202,9 @@
     case Kind::rows:
       if (!message.sums.empty()) answerCompare(message);
       break;
+    case Kind::parcel:
+      parcels_.push_back({from, message.parcel});
+      break;
     case Kind::news:
       break;
   }
@@ -484,6 +487,10 @@
 }
 
 // --- what is asked of it
+void Core::post(Member to, std::string bytes) {
+  if (!aside_) say(Kind::parcel, to).parcel = std::move(bytes);
+}
+
 std::vector<Message> Core::out() { return std::exchange(out_, {}); }
 std::vector<Event> Core::happened() { return std::exchange(events_, {}); }
 
--- a/src/members/core.h
+++ b/src/members/core.h
@@ -49,6 +49,10 @@
   void leave(double now);                                          // tells some that this process ends
   double wakes() const;                                            // when tick() has something to do
 
+  // For subsystems above: bytes to a member, and what came from members that were heard as they should be.
+  void post(Member to, std::string bytes);
+  std::vector<Parcel> parcels() { return std::exchange(parcels_, {}); }
+
   std::vector<Message> out();     // what is to be sent since the last call
   std::vector<Event> happened();  // since the last call
   View view(double now) const;
@@ -132,6 +136,7 @@
   std::vector<Member> round_;  // whom to probe, this round
   std::vector<Message> out_;
   std::vector<Event> events_;
+  std::vector<Parcel> parcels_;
   std::vector<Probe> probing_;
   std::deque<Errand> errands_;
   Counts wrong_{};
--- a/src/members/message.h
+++ b/src/members/message.h
@@ -20,8 +20,9 @@
   news,     // rows alone
   compare,  // sums of all rows by bucket: answer with the rows of those that differ
   rows,     // those; with sums: answer with yours
+  parcel,   // bytes of a subsystem above
 };
-constexpr Kind kLastKind = Kind::rows;
+constexpr Kind kLastKind = Kind::parcel;
 
 struct Row {
   Member member = kNobody;
@@ -39,6 +40,12 @@
   uint64_t digest = 0;                     // of all rows that the sender has
   std::vector<Row> rows;
   std::vector<uint64_t> sums;
+  std::string parcel;
+};
+
+struct Parcel {  // what came from a member for a subsystem above
+  Member from = kNobody;
+  std::string bytes;
 };
 
 }  // namespace elmcleat::members
--- a/src/members/shell.cpp
+++ b/src/members/shell.cpp
@@ -58,7 +58,7 @@
   }
 }
 
-void Shell::start(std::function<void()> turned) {
+void Shell::start(std::function<double()> turned) {
   turned_ = std::move(turned);
   task_ = run();
   task_.start();
@@ -75,8 +75,8 @@
       }
       core_.tick(scheduler_.now());
       send();
-      turned_();
-      timer_.set(core_.wakes());
+      double wanted = turned_();
+      timer_.set(std::min(core_.wakes(), wanted));
       co_await signal_;
     }
   } catch (...) {  // a fault here must end the control thread alone
--- a/src/members/shell.h
+++ b/src/members/shell.h
@@ -18,8 +18,9 @@
  public:
   // Binds at once: Fault where the address is taken.
   Shell(Scheduler& scheduler, const Plan& plan, Member self, Core& core);
-  void start(std::function<void()> turned);  // `turned`: called after each turn, with the core up to date
-  void send();                               // what the core has to say
+  // `turned` is called after each turn, with the core up to date, and says when it wants the next at the latest.
+  void start(std::function<double()> turned);
+  void send();                                         // what the core has to say
   std::exception_ptr fault() const { return fault_; }  // what ended it
 
  private:
@@ -51,7 +52,7 @@
   std::unique_ptr<Descriptor> datagrams_, listener_;
   std::list<std::unique_ptr<Link>> links_;
   std::array<double, kWrongs> toldAt_;  // of each kind, when it was logged last
-  std::function<void()> turned_;
+  std::function<double()> turned_;
   std::exception_ptr fault_;
   Task task_;
 };
--- a/src/members/wire.cpp
+++ b/src/members/wire.cpp
@@ -59,6 +59,7 @@
     claim.set_state(uint32_t(row.claim.state));
   }
   for (uint64_t sum : message.sums) envelope.add_sums(sum);
+  envelope.set_parcel(message.parcel);
   std::string bytes = envelope.SerializeAsString();
   return sumOf(bytes) + bytes;
 }
@@ -94,6 +95,7 @@
     if (row.member >= 0) message.rows.push_back(row);
   }
   message.sums.assign(envelope.sums().begin(), envelope.sums().end());
+  message.parcel = envelope.parcel();
   return message;
 }
 
--- a/src/serve/desk.cpp
+++ b/src/serve/desk.cpp
@@ -71,6 +71,9 @@
 void Desk::change(const std::optional<budget::Plan>& plan) {
   if (plan.has_value() != (budgets_ != nullptr)) {
     warn() << "budgets: the old ones stay: they can't be switched on or off without a restart";
+  } else if (plan && budgets_->shares() &&
+             budget::fleetRates(*plan) != budget::fleetRates(budgets_->tree().plan())) {
+    warn() << "budgets: the old ones stay: rates that are shared change at a start alone";
   } else if (plan) {
     mailbox_.post([this, plan = *plan] {
       budgets_->change(plan), actor_ = lower(plan.actor);
@@ -79,6 +82,13 @@
   }
 }
 
+void Desk::share(std::vector<shared::Usable> usable, std::function<void(std::vector<double>)> heeded) {
+  mailbox_.post([this, usable = std::move(usable), heeded = std::move(heeded)]() mutable {
+    budgets_->share(std::move(usable));
+    heeded(budgets_->wants());
+  });
+}
+
 // --- from engines and the list
 void Desk::ended(const std::shared_ptr<Ticket>& ticket, Outcome what, double took, std::optional<Bill> bill,
                  std::optional<Report> report, std::optional<std::string> rows) {
--- a/src/serve/desk.h
+++ b/src/serve/desk.h
@@ -48,6 +48,9 @@
   // Budgets read again, with commands in hand.
   void change(const std::optional<budget::Plan>& plan);
 
+  // Rates of budgets that are shared with other gateways: what may be used here, and what there is use for (budget::Office).
+  void share(std::vector<shared::Usable> usable, std::function<void(std::vector<double>)> heeded);
+
   // From the list.
   void listed(ListKind kind, std::vector<NodeRow> rows);
 
--- a/src/shared/loans.h
+++ b/src/shared/loans.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "pcg32.h"
+#include "shared/usable.h"
 
 namespace elmcleat::shared {
 
@@ -54,22 +55,12 @@
   std::vector<Line> lines;
 };
 
-// What may be used, as another thread needs it: it holds by itself, however long nobody renews it.
-struct Usable {
-  double own = 0;                                   // without an end
-  std::vector<std::pair<double, double>> borrowed;  // until when, how much
-  double at(double now) const {
-    double all = own;
-    for (auto& [until, units] : borrowed) all += now < until ? units : 0;
-    return all;
-  }
-};
-
 class Loans {
  public:
   // `life` differs in each life of the process; `promisesFrom`: when whatever an earlier one lent is over at the latest.
   Loans(const LoanTerms& terms, int self, uint64_t life, uint64_t seed, double now);
 
+  size_t amounts() const { return lines_.size(); }
   void want(size_t amount, double units);  // what there is use for now
   void there(int member, bool is) {
     there_[size_t(member)] = is;
--- /dev/null
+++ b/src/shared/wire.h
@@ -0,0 +1,27 @@
+// Letters as bytes (wire.proto). No I/O; bounded by what carries them; what can't be read is none.
+#pragma once
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "shared/loans.h"
+
+namespace elmcleat::shared {
+
+class LetterWire {
+ public:
+  // The names of the amounts, in the order of the terms, and what they are in all.
+  LetterWire(std::vector<std::string> names, std::vector<double> amounts);
+  std::string write(const Letter& letter) const;
+  // Lines about amounts that are not known here, or are others here, are left out.
+  std::optional<Letter> read(std::string_view bytes, int from, int to) const;
+
+ private:
+  std::vector<std::string> names_;
+  std::vector<double> amounts_;
+  std::unordered_map<std::string, uint32_t> places_;
+};
+
+}  // namespace elmcleat::shared
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -19,7 +19,7 @@
   Scenario scene;
   Profile load;
   load.name = "load", load.effect = Effect::nonReplayable, load.clientTimeout = 5;
-  scene.settings.profiles = {load}, scene.teams = {{"a", 1, 0, 1, {}}};
+  scene.settings.profiles = {load}, scene.teams = {{"a", 1, 0, 1, 1, {}}};
   scene.settings.maxSends = 3, scene.lasts = 100;
   return scene;
 }
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -82,11 +82,12 @@
   Message message = from(1, 2, 7, Kind::ack);
   message.probe = 9, message.subject = 3, message.digest = 1234567;
   message.rows = {{3, {5, 6, State::suspect}, 1}, {0, {8, 1, State::left}}};
-  message.sums = {1, 2, 3};
+  message.sums = {1, 2, 3}, message.parcel = std::string("\0x", 2);
   std::string bytes = wire.write(message);
   auto back = std::get<Message>(wire.read(bytes));
   CHECK_EQ(back.rows.size(), 2);
   CHECK((back.rows[0].claim == message.rows[0].claim && back.rows[0].by == 1 && back.rows[1].by == kNobody));
+  CHECK_EQ(back.parcel, message.parcel);
   CHECK((back.kind == Kind::ack && back.from == 1 && back.to == 2 && back.sequence == 7 && back.probe == 9));
   CHECK((back.subject == 3 && back.digest == 1234567 && back.sums == message.sums && back.instance == 10));
 
--- a/tests/threads_test.cpp
+++ b/tests/threads_test.cpp
@@ -44,8 +44,8 @@
   plan.fleet = "threads", plan.peers = {{"n0", own(one)}, {"n1", own(two)}};
   Control first(clock, plan, "n0", 1), second(clock, plan, "n1", 2);
   auto there = [&](Control& control) {
-    const members::View* view = control.latest(clock.now());
-    return view ? view->there : 0;
+    const Told* told = control.latest(clock.now());
+    return told ? told->members.there : 0;
   };
   auto until = [&](size_t wanted) {
     for (double end = now() + 8; now() < end; pause(0.01)) {
