--- a/src/shared/loans.cpp
+++ b/src/shared/loans.cpp
@@ -23,11 +23,10 @@
     if (!(terms.amounts[i] > 0 && std::isfinite(terms.amounts[i])))
       flaws.push_back({"amounts[" + std::to_string(i) + "]", "must be above 0"});
   if (terms.members < 1) flaws.push_back({"members", "is below 1"});
-  if (!(terms.kept >= 0 && terms.kept <= 1)) flaws.push_back({"kept", "must be from 0 to 1"});
-  if (!(terms.length > 0)) flaws.push_back({"lengthS", "must be above 0"});
+  if (!(terms.kept >= 0 && terms.kept <= 1)) flaws.push_back({"keptPart", "must be from 0 to 1"});
+  if (!(terms.length > 0)) flaws.push_back({"loanS", "must be above 0"});
   if (!(terms.guard >= 0 && 2 * terms.guard < terms.length * kRenew))
-    flaws.push_back(
-        {"guardS", "must be below a quarter of lengthS: no loan could be renewed before its end"});
+    flaws.push_back({"guardS", "must be below a quarter of loanS: no loan could be renewed before its end"});
   return flaws;
 }
 
--- a/tests/budget_test.cpp
+++ b/tests/budget_test.cpp
@@ -559,3 +559,32 @@
   CHECK(scene.trace.str().find("shed never") != std::string::npos);
   CHECK_EQ(scene.sent[1], 0);
 }
+
+TEST_CASE("shared rates: what is put by stays the same work, and what was borrowed ends by itself") {
+  Plan plan;
+  plan.entries = {{"a", "", {}}};
+  plan.entries[0].terms.guarantee.cores = 10, plan.entries[0].terms.burst = 2;
+  Tree tree(plan, 0.1);  // one core here
+  Item item;
+  item.actor = {"a", "p"}, item.work = 1.5;
+  tree.take(item, 100), tree.hold(item, false, 100);
+  REQUIRE_EQ(tree.next(100), &item);
+  tree.unhold(item, 100), tree.started(item, 100);  // of 2 s put by, 0.5 are left
+  const Bucket& right = tree.find("a")->right;
+  CHECK_EQ(right.work(100), doctest::Approx(0.5));
+  tree.rate("a", false, 8, 100);
+  CHECK_EQ(right.work(100), doctest::Approx(0.5));
+  CHECK_EQ(right.work(101), doctest::Approx(8.5));
+  tree.rate("a", false, 0.1, 101);
+  CHECK_EQ(right.work(101), doctest::Approx(0.2));  // no more than its burst
+
+  Office office(plan, 10);
+  office.at(100);
+  office.share({{1, {{105, 3}, {102, 2}}}});
+  auto cores = [&] { return office.tree().find("a")->right.rate; };
+  CHECK_EQ(cores(), 6);
+  office.at(102);
+  CHECK_EQ(cores(), 4);
+  office.at(700);  // however long nothing came
+  CHECK_EQ(cores(), 1);
+}
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -68,6 +68,14 @@
   "members.suspectMostS: is 0.1.*, below suspectLeastS" "members.suspectLeastS: is 0.2.*, below periodS"; do
   expect "unsound members: $pattern" 1 "$pattern" "$program" check "$folder/members.json"
 done
+echo '{"shared": {}}' >"$folder/shared.json"
+expect "sharing with nobody" 1 'shared: needs the sections members and budgets' "$program" check "$folder/shared.json"
+echo '{"shared": {"loanS": 30, "guardS": 8}, "budgets": {"nodes": [{"name": "a"}]},
+  "members": {"fleet": "f", "peers": [{"name": "a", "at": "10.0.0.4:1"}]}}' >"$folder/shared.json"
+for pattern in "shared.guardS: must be below a quarter of loanS" "shared.loanS: with its guards it is longer than members" \
+  "shared: budgets name no guarantee and no ceiling in cores"; do
+  expect "unsound sharing: $pattern" 1 "$pattern" "$program" check "$folder/shared.json"
+done
 echo '{"budgets": {"nodes": [{"name": "a", "guarantee": {"cores": NaN}}]}}' >"$folder/nan.json"
 expect "not a number" 1 'nan.json: is no JSON: .*NaN|nan.json: is no JSON' "$program" check "$folder/nan.json"
 echo '[]' >"$folder/list.json"
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -21,6 +21,17 @@
   CHECK_FALSE(readGateway(Json::object(), "empty").budgets);
 }
 
+TEST_CASE("the example of a fleet's file: members, and the rates that they share") {
+  auto config = readGateway(std::string(EXAMPLES) + "gateway.members.example.json");
+  REQUIRE((config.members && config.budgets && config.shared));
+  CHECK_EQ(config.members->peers[2].name, "n3");
+  CHECK_EQ(textOf(config.members->peers[2].at), "10.0.0.6:4300");
+  CHECK_EQ(config.shared->members, 3);
+  CHECK((config.shared->amounts == std::vector<double>{16, 8, 20}));
+  auto rates = budget::fleetRates(*config.budgets);
+  CHECK_EQ(rates[2].name(), "partners#ceiling");
+}
+
 TEST_CASE("faults of a schema and of a plan come all at once, each with its file and key") {
   auto document = Json::parse(R"({"budgets": {"agedPrat": 0.2, "nodes": [
     {"name": "a", "ceiling": {"core": 1}}, {"name": "b", "parent": "c"}, {"parent": "a"}]}})");
--- a/tests/service.h
+++ b/tests/service.h
@@ -12,12 +12,15 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <list>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -194,6 +197,81 @@
   std::list<std::pair<int, std::unique_ptr<Peer>>> peers_;
 };
 
+// Any number of engines that answer whatever is sent to them at once: one listener on all of loopback stands for them.
+class Crowd {
+ public:
+  struct Sent {
+    double at;
+    std::string id;
+    uint32_t engine;  // its address
+  };
+  Crowd() {
+    sockaddr_in any{};
+    any.sin_family = AF_INET;
+    socklen_t size = sizeof any;
+    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    REQUIRE_EQ(bind(listener_, raw(any), sizeof any), 0);
+    getsockname(listener_, raw(any), &size), port = ntohs(any.sin_port);
+    REQUIRE_EQ(listen(listener_, 1000), 0);
+    thread_ = std::thread([this] { run(); });
+  }
+  ~Crowd() {
+    over_ = true;
+    thread_.join();
+    ::close(listener_);
+  }
+  std::vector<Sent> record() {
+    std::lock_guard lock(mutex_);
+    return record_;
+  }
+  std::set<uint32_t> reached() {
+    std::set<uint32_t> all;
+    for (auto& sent : record()) all.insert(sent.engine);
+    return all;
+  }
+  int port = 0;
+
+ private:
+  void run() {
+    std::list<std::pair<Peer, uint32_t>> peers;
+    while (!over_) {
+      std::vector<pollfd> ready{{listener_, POLLIN, 0}};
+      for (auto& [peer, at] : peers) ready.push_back({peer.fd(), POLLIN, 0});
+      poll(ready.data(), ready.size(), 20);
+      size_t i = 1;
+      for (auto one = peers.begin(); one != peers.end(); ++i) {
+        auto& [peer, at] = *one;
+        bool ended = ready[i].revents && !peer.more();
+        while (peer.in.find("\r\n") != std::string::npos) {
+          std::istringstream words(peer.until("\r\n"));
+          std::string verb, id, fields;
+          size_t length = 0;
+          words >> verb >> id >> fields;
+          if (words >> length) peer.bytes(length + 2);
+          if (verb != "GET") continue;
+          std::string hit = id + " HIT fetches=1 6\r\na\tb\tc\n\r\n";
+          (void)!send(peer.fd(), hit.data(), hit.size(), MSG_NOSIGNAL);  // it may have gone meanwhile
+          std::lock_guard lock(mutex_);
+          record_.push_back({now(), id, at});
+        }
+        one = ended ? peers.erase(one) : std::next(one);
+      }
+      if (!ready[0].revents) continue;
+      sockaddr_in local{};
+      socklen_t room = sizeof local;
+      int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+      getsockname(fd, raw(local), &room);
+      peers.emplace_back(std::piecewise_construct, std::forward_as_tuple(fd),
+                         std::forward_as_tuple(ntohl(local.sin_addr.s_addr)));
+    }
+  }
+  int listener_;
+  std::vector<Sent> record_;
+  std::mutex mutex_;
+  std::atomic<bool> over_{false};
+  std::thread thread_;
+};
+
 std::string big(uint64_t value, int width) {
   std::string bytes;
   for (int i = width - 1; i >= 0; --i) bytes += static_cast<char>(value >> (8 * i) & 0xff);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -2,9 +2,6 @@
 // engines and the change log.
 #include "service.h"
 
-#include <atomic>
-#include <set>
-
 TEST_CASE("a command goes to an engine as it came, and its pages come back as one answer") {
   Stage stage(1);
   auto client = stage.service.client();
@@ -645,51 +642,14 @@
 }
 
 TEST_CASE("a list of 1,100 engines under 256 descriptors: all is served, and it never runs out") {
-  // One listener on all of loopback stands for all of them; whatever is sent there is answered at once.
-  int port = 0, listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in any{};
-  any.sin_family = AF_INET;
-  socklen_t size = sizeof any;
-  REQUIRE_EQ(bind(listener, raw(any), sizeof any), 0);
-  getsockname(listener, raw(any), &size), port = ntohs(any.sin_port);
-  REQUIRE_EQ(listen(listener, 1000), 0);
-  std::atomic<bool> over{false};
-  std::set<uint32_t> reached;
-  std::thread crowd([&] {
-    std::list<Peer> peers;
-    while (!over) {
-      std::vector<pollfd> ready{{listener, POLLIN, 0}};
-      for (auto& peer : peers) ready.push_back({peer.fd(), POLLIN, 0});
-      poll(ready.data(), ready.size(), 20);
-      size_t i = 1;
-      for (auto peer = peers.begin(); peer != peers.end(); ++i) {
-        bool ended = ready[i].revents && !peer->more();
-        for (size_t end; (end = peer->in.find("\r\n")) != std::string::npos;) {
-          std::istringstream words(peer->until("\r\n"));
-          std::string verb, id, fields;
-          size_t length = 0;
-          words >> verb >> id >> fields;
-          if (words >> length) peer->bytes(length + 2);
-          if (verb == "GET") peer->write(id + " HIT fetches=1 6\r\na\tb\tc\n\r\n");
-        }
-        peer = ended ? peers.erase(peer) : std::next(peer);
-      }
-      if (!ready[0].revents) continue;
-      sockaddr_in local{};
-      socklen_t room = sizeof local;
-      int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
-      getsockname(fd, raw(local), &room);
-      reached.insert(ntohl(local.sin_addr.s_addr));
-      peers.emplace_back(fd);
-    }
-  });
+  Crowd crowd;
   Engines none(0);
   Service service(none, 0, 256);
   Json hosts = Json::array();
   char id[16], at[32];
   for (int i = 0; i < 1100; ++i) {
     std::snprintf(id, sizeof id, "s-%08x", i + 1),
-        std::snprintf(at, sizeof at, "127.9.%d.%d:%d", i / 250, i % 250 + 1, port);
+        std::snprintf(at, sizeof at, "127.9.%d.%d:%d", i / 250, i % 250 + 1, crowd.port);
     hosts.push_back({{"host", id},
                      {"dial", at},
                      {"site", "east"},
@@ -713,10 +673,7 @@
     most = std::max(most, service.descriptors());
   }
   CHECK_EQ(served, 30 * 80);
-  over = true;
-  crowd.join();
-  ::close(listener);
-  CHECK_GT(reached.size(), 300);  // more than there are descriptors
+  CHECK_GT(crowd.reached().size(), 300);  // more than there are descriptors
   CHECK_LT(most, 256);
   CHECK_EQ(service.log().find("no descriptor"), std::string::npos);
   CHECK_EQ(service.log().find("out of descriptors"), std::string::npos);
