--- a/src/main.cpp
+++ b/src/main.cpp
@@ -66,7 +66,7 @@
   }
 }
 
-// What may be used here of shared rates, looked at ten times as often as it is renewed.
+// What may be used here of shared rates, fifty times a second: a grant of ours waits for this look (Control::heeded).
 void heedShared(Control& control, Desk& desk, Timer& again, const Clock& clock) {
   again.set(clock.now() + 0.02);
   const Told* told = control.usable();
