Two control threads lend a rate under ThreadSanitizer; a hung lender's traffic lets nothing out

Without the wait for traffic's word (number > heeded in Control::lend()) the test fails: the borrower has more than its own while the lender's traffic has not heeded the loan.

--- a/tests/fuzz/members_fuzz.cpp
+++ b/tests/fuzz/members_fuzz.cpp
@@ -61,10 +61,12 @@
     const Claim& own = core.claimOf(0);
     must(core.aside() || own.state == State::alive, "it was talked into its own end");
     must(core.life().incarnation < (uint64_t{1} << 62) + 1000, "numbers ran away");
-    if (auto letter = letters.read(in.substr(at - length, length), 1 + int(length % 7), 0)) loans.hear(now, *letter);
+    if (auto letter = letters.read(in.substr(at - length, length), 1 + int(length % 7), 0))
+      loans.hear(now, *letter);
     loans.tick(now), loans.out();
     for (size_t i = 0; i < 2; ++i)  // no more than all own, and no less than nothing
-      must(loans.usable(i, now) >= 0 && loans.usable(i, now) <= terms.amounts[i] * 1.0000001, "loans out of all bounds");
+      must(loans.usable(i, now) >= 0 && loans.usable(i, now) <= terms.amounts[i] * 1.0000001,
+           "loans out of all bounds");
     must(core.wakes() >= 0, "it wants to be woken in the past");
   }
   return 0;
--- a/tests/shared_test.cpp
+++ b/tests/shared_test.cpp
@@ -110,14 +110,16 @@
   CHECK_EQ(one.parts(0, 3.3).at(3 + 2 - 0.1), own);
 }
 
-TEST_CASE("letters as bytes: by name and amount; what differs between two files is left out, garbage is none") {
+TEST_CASE(
+    "letters as bytes: by name and amount; what differs between two files is left out, garbage is none") {
   LetterWire here({"a#guarantee", "b#ceiling", "c#ceiling"}, {10, 20, 30});
   LetterWire there({"c#ceiling", "a#guarantee", "b#ceiling"}, {30, 10, 21});
   Letter sent{Letter::Kind::grant, 1, 2, 7, 9, {{0, 1.5, 0.25}, {1, 2, 0}, {2, 3, 0}}};
   std::string bytes = here.write(sent);
   auto read = there.read(bytes, 1, 2);
   REQUIRE(read);
-  CHECK((read->kind == sent.kind && read->from == 1 && read->to == 2 && read->life == 7 && read->number == 9));
+  CHECK(
+      (read->kind == sent.kind && read->from == 1 && read->to == 2 && read->life == 7 && read->number == 9));
   REQUIRE_EQ(read->lines.size(), 2);  // b is another amount there
   CHECK((read->lines[0].amount == 1 && read->lines[0].units == 1.5 && read->lines[0].spare == 0.25));
   CHECK((read->lines[1].amount == 0 && read->lines[1].units == 3));
--- a/tests/threads_test.cpp
+++ b/tests/threads_test.cpp
@@ -63,3 +63,35 @@
   CHECK_NE(first.latest(clock.now()), nullptr);
   CHECK(first.stop());
 }
+
+TEST_CASE("a rate goes by loans from one control thread to the other, once the lender's traffic heeds it") {
+  Clock clock;
+  sockaddr_in one = Listener().address, two = Listener().address;
+  members::Plan plan;
+  plan.fleet = "threads";
+  for (auto& at : {one, two})
+    plan.peers.push_back(
+        {"n" + std::to_string(plan.peers.size()), {ntohl(at.sin_addr.s_addr), ntohs(at.sin_port)}});
+  Sharing sharing;
+  sharing.terms.members = 2, sharing.terms.amounts = {10}, sharing.rates = {{"a", false, 10}};
+  Control borrower(clock, plan, "n0", 1, sharing), lender(clock, plan, "n1", 2, sharing);
+  auto look = [&](Control& control, double want, bool heeds) {  // as a traffic thread does
+    const Told* told = control.usable();
+    control.want({want});
+    if (heeds) control.heeded(told->members.number);
+    return told->usable[0].at(clock.now());
+  };
+  double most = 0;
+  for (double end = now() + 4; now() < end; pause(0.005)) {
+    look(lender, 0, false);  // its traffic hangs: nothing goes out
+    most = std::max(most, look(borrower, 9, true));
+  }
+  CHECK_LE(most, 5);
+  bool got = false;
+  for (double end = now() + 8; !got && now() < end; pause(0.005)) {
+    double lends = look(lender, 0, true), borrows = look(borrower, 9, true);
+    CHECK_LE(lends + borrows, 10.0000001);
+    got = borrows > 8.9;
+  }
+  CHECK(got);
+}
