--- a/src/members/shell.cpp
+++ b/src/members/shell.cpp
@@ -20,14 +20,6 @@
 constexpr size_t kMostRead = 256;  // datagrams read before others get their turn
 constexpr size_t kLargest = 64 * 1024;
 
-sockaddr_in nativeOf(const Address& address) {
-  sockaddr_in native{};
-  native.sin_family = AF_INET;
-  native.sin_addr.s_addr = htonl(address.host);
-  native.sin_port = htons(address.port);
-  return native;
-}
-
 int bound(const Address& address) {
   int fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) throw std::system_error(errno, std::generic_category(), "socket");
--- a/src/runtime/stream.cpp
+++ b/src/runtime/stream.cpp
@@ -13,14 +13,6 @@
 namespace elmcleat {
 namespace {
 
-sockaddr_in nativeOf(const Address& address) {
-  sockaddr_in native{};
-  native.sin_family = AF_INET;
-  native.sin_addr.s_addr = htonl(address.host);
-  native.sin_port = htons(address.port);
-  return native;
-}
-
 Ending endingOf(int fault) {
   switch (fault) {
     case ECONNREFUSED:
@@ -44,6 +36,14 @@
 
 }  // namespace
 
+sockaddr_in nativeOf(const Address& address) {
+  sockaddr_in native{};
+  native.sin_family = AF_INET;
+  native.sin_addr.s_addr = htonl(address.host);
+  native.sin_port = htons(address.port);
+  return native;
+}
+
 int listenOn(const Address& address) {
   int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) throw std::system_error(errno, std::generic_category(), "socket");
--- a/src/runtime/stream.h
+++ b/src/runtime/stream.h
@@ -1,5 +1,7 @@
 // A TCP connection: bytes in and out through bounded buffers, and how it ended.
 #pragma once
+#include <netinet/in.h>
+
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -59,6 +61,8 @@
   Ending ending_ = Ending::none;
 };
 
+// As the system has it.
+sockaddr_in nativeOf(const Address& address);
 // A socket that listens, or an exception with the reason.
 int listenOn(const Address& address);
 
