Names: CloseReason, tryEvict, evictIdle, MemoryBudget, drain of the door (renames alone)

Ending becomes CloseReason (files close_reason.*), giveWay tryEvict, makeRoom evictIdle, Hold MemoryBudget, the door's leave drain. Log lines keep their words.

--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -42,7 +42,7 @@
     if (!stream.open()) return;
     stream.write(std::move(bytes)), stream.flush();
   }
-  void close() { stream.end(Ending::idle), signal_.raise(); }
+  void close() { stream.end(CloseReason::idle), signal_.raise(); }
   std::function<void(std::string&)> heard;
   std::function<void()> over;
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -63,7 +63,7 @@
   for (signalfd_siginfo heard;;) {
     while (read(signals.fd(), &heard, sizeof heard) != sizeof heard) co_await signal;
     if (heard.ssi_signo == SIGHUP) readAgain(options, fleet, desk, members);
-    else door.leave();
+    else door.drain();
   }
 }
 
@@ -102,7 +102,7 @@
   Desk desk(scheduler, config.settings, config.seed, own.budgets);
   Fleet fleet(scheduler, config, desk);
   Door door(scheduler, config, desk);
-  fleet.evictBy([&door] { return door.makeRoom(); });
+  fleet.evictBy([&door] { return door.evictIdle(); });
   desk.start(fleet);
   fleet.start();
   std::optional<Timer> look;
--- a/src/members/shell.cpp
+++ b/src/members/shell.cpp
@@ -122,11 +122,11 @@
     for (size_t i = 0; i < 4; ++i) length = length << 8 | static_cast<unsigned char>(in[i]);
     if (length > kMostBytes) {
       wrong(Wrong::tooLarge, textOf({link.host, 0}), "a stream announces more than a message may have");
-      return link.stream.end(Ending::overfull);
+      return link.stream.end(CloseReason::overfull);
     }
     if (in.size() >= 4 + length) {
       heard(std::string_view(in).substr(4, length), link.host, 0);
-      return link.stream.end(Ending::idle);
+      return link.stream.end(CloseReason::idle);
     }
   }
   if (!open && !in.empty())
--- a/src/members/shell.h
+++ b/src/members/shell.h
@@ -27,7 +27,7 @@
   struct Link {  // a stream with one message on it, ours or theirs
     Link(Scheduler& scheduler, Signal& signal)
         : stream(scheduler, signal, kMostBytes + 8, kMostBytes + 8),
-          late(scheduler, [this, &signal] { stream.end(Ending::timedOut), signal.raise(); }) {}
+          late(scheduler, [this, &signal] { stream.end(CloseReason::timedOut), signal.raise(); }) {}
     Stream stream;
     Timer late;
     std::string out;    // ours, until the connection is up
--- a/src/runtime/ending.h
+++ b/src/runtime/close_reason.h
@@ -3,7 +3,7 @@
 
 namespace elmcleat {
 
-enum class Ending {
+enum class CloseReason {
   none,          // it has not ended
   refused,       // nobody listens there, or there is no way there
   connectLate,   // it did not come up in time
@@ -18,7 +18,7 @@
   replaced,      // closed by us: who is there drains, is gone, or has been replaced by another
   timedOut,      // the exchange alone: its time is up
 };
-constexpr const char* nameOf(Ending ending) {
+constexpr const char* nameOf(CloseReason ending) {
   constexpr const char* names[] = {"none",     "refused", "connect timed out", "out of descriptors",
                                    "closed",   "reset",   "garbled",           "overfull",
                                    "idle",     "silent",  "cut short",         "replaced",
--- a/src/runtime/stream.cpp
+++ b/src/runtime/stream.cpp
@@ -13,22 +13,22 @@
 namespace elmcleat {
 namespace {
 
-Ending endingOf(int fault) {
+CloseReason reasonOf(int fault) {
   switch (fault) {
     case ECONNREFUSED:
     case EHOSTUNREACH:
     case ENETUNREACH:
     case EADDRNOTAVAIL:
-      return Ending::refused;
+      return CloseReason::refused;
     case ETIMEDOUT:
-      return Ending::connectLate;
+      return CloseReason::connectLate;
     case EMFILE:
     case ENFILE:
     case ENOBUFS:
     case ENOMEM:
-      return Ending::noDescriptor;
+      return CloseReason::noDescriptor;
     default:
-      return Ending::reset;
+      return CloseReason::reset;
   }
 }
 
@@ -63,7 +63,7 @@
   ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   try {
     socket_ = std::make_unique<Descriptor>(scheduler_, fd, signal_);
-  } catch (const std::system_error&) { end(Ending::noDescriptor); }
+  } catch (const std::system_error&) { end(CloseReason::noDescriptor); }
 }
 
 void Stream::adopt(int fd) {
@@ -73,15 +73,16 @@
 
 void Stream::connect(const Address& address, uint32_t from) {
   int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0) return end(endingOf(errno));
+  if (fd < 0) return end(reasonOf(errno));
   adoptDescriptor(fd);
   if (!socket_) return;
   if (sockaddr_in own = nativeOf({from, 0});
       from != 0 && ::bind(fd, reinterpret_cast<sockaddr*>(&own), sizeof own) < 0)
-    return end(endingOf(errno));
+    return end(reasonOf(errno));
   sockaddr_in native = nativeOf(address);
   if (::connect(fd, reinterpret_cast<sockaddr*>(&native), sizeof native) == 0) up_ = true;
-  else if (errno != EINPROGRESS) end(endingOf(errno) == Ending::reset ? Ending::refused : endingOf(errno));
+  else if (errno != EINPROGRESS)
+    end(reasonOf(errno) == CloseReason::reset ? CloseReason::refused : reasonOf(errno));
 }
 
 bool Stream::connected() {
@@ -93,7 +94,7 @@
   size = sizeof fault;
   ::getsockopt(socket_->fd(), SOL_SOCKET, SO_ERROR, &fault, &size);
   // Whatever broke it, it never came up.
-  if (fault != 0) end(endingOf(fault) == Ending::reset ? Ending::refused : endingOf(fault));
+  if (fault != 0) end(reasonOf(fault) == CloseReason::reset ? CloseReason::refused : reasonOf(fault));
   return false;
 }
 
@@ -111,12 +112,12 @@
       in_.append(chunk, static_cast<size_t>(got));
       if (static_cast<size_t>(got) < room) socket_->readAll();  // but for an end, if one has been announced
     } else if (got == 0) {
-      end(Ending::closed);
+      end(CloseReason::closed);
     } else if (errno == EAGAIN) {
       socket_->readAll();
       break;
     } else if (errno != EINTR) {
-      end(endingOf(errno));
+      end(reasonOf(errno));
     }
   }
   return open();
@@ -126,7 +127,7 @@
   uint64_t place = next_++;
   outBytes_ += bytes.size();
   out_.push_back({place, std::move(bytes)});
-  if (outBytes_ > mostOut_) end(Ending::overfull);
+  if (outBytes_ > mostOut_) end(CloseReason::overfull);
   return place;
 }
 
@@ -150,7 +151,7 @@
     ssize_t done = ::sendmsg(socket_->fd(), &message, MSG_NOSIGNAL);
     if (done < 0) {
       if (errno == EINTR) continue;
-      if (errno != EAGAIN) end(endingOf(errno));
+      if (errno != EAGAIN) end(reasonOf(errno));
       return;
     }
     for (auto left = static_cast<size_t>(done); left > 0;) {
@@ -169,8 +170,8 @@
   if (socket_) ::shutdown(socket_->fd(), SHUT_WR);
 }
 
-void Stream::end(Ending ending) {
-  if (ending_ == Ending::none) ending_ = ending;
+void Stream::end(CloseReason ending) {
+  if (reason_ == CloseReason::none) reason_ = ending;
   socket_.reset();
 }
 
--- a/src/runtime/stream.h
+++ b/src/runtime/stream.h
@@ -9,7 +9,7 @@
 #include <string_view>
 
 #include "protocol/address.h"
-#include "runtime/ending.h"
+#include "runtime/close_reason.h"
 #include "runtime/scheduler.h"
 
 namespace elmcleat {
@@ -20,7 +20,7 @@
       : scheduler_(scheduler), signal_(signal), mostIn_(mostIn), mostOut_(mostOut) {}
 
   void adopt(int fd);  // a connection that was accepted
-  // connected() tells when it is up, ending() if it failed. `from`: our own host, where it matters; 0: any.
+  // connected() tells when it is up, closeReason() if it failed. `from`: our own host, where it matters; 0: any.
   void connect(const Address& address, uint32_t from = 0);
   bool connected();
 
@@ -39,9 +39,9 @@
   bool drained() const { return out_.empty(); }
 
   bool open() const { return socket_ != nullptr; }
-  Ending ending() const { return ending_; }
-  void shutDown();          // says that nothing more goes out
-  void end(Ending ending);  // closes; the first ending counts
+  CloseReason closeReason() const { return reason_; }
+  void shutDown();               // says that nothing more goes out
+  void end(CloseReason ending);  // closes; the first ending counts
 
  private:
   struct Chunk {
@@ -59,7 +59,7 @@
   std::deque<Chunk> out_;
   size_t outBytes_ = 0, headSent_ = 0;
   uint64_t next_ = 0, sent_ = 0;  // places given; places before this one have begun
-  Ending ending_ = Ending::none;
+  CloseReason reason_ = CloseReason::none;
 };
 
 // As the system has it.
--- a/src/serve/client.cpp
+++ b/src/serve/client.cpp
@@ -24,11 +24,12 @@
 
 }  // namespace
 
-Client::Client(Scheduler& scheduler, const Settings& settings, Desk& desk, Hold& hold, int fd, bool full)
+Client::Client(Scheduler& scheduler, const Settings& settings, Desk& desk, MemoryBudget& hold, int fd,
+               bool full)
     : scheduler_(scheduler),
       settings_(settings),
       desk_(desk),
-      hold_(hold),
+      memory_(hold),
       signal_(scheduler),
       mailbox_(signal_),
       stream_(scheduler, signal_, kMostIn, kMostOut),
@@ -45,7 +46,7 @@
 }
 
 void Client::holds(size_t bytes) {
-  hold_.sum += bytes - held_;
+  memory_.sum += bytes - held_;
   held_ = bytes;
 }
 
@@ -66,18 +67,18 @@
 
 // What the client has written, and we have not read, may be a request that is owed an answer. Who has half a request
 // there is told that there is no room for it.
-bool Client::giveWay() {
+bool Client::tryEvict() {
   signal_.raise();
   if (!leaving_) unseen_ |= read(true);
   if (unseen_) return false;
   if (!leaving_ && begun()) stream_.write(httpAnswer({Answer::Kind::shed, {}, 0}, false)), stream_.flush();
-  stream_.end(Ending::idle);
+  stream_.end(CloseReason::idle);
   return true;
 }
 
 // Who has not taken its answer, or not closed after its last one, is cut off; all others are looked at once more.
 void Client::tooLate() {
-  if (busy_ || leaving_) stream_.end(Ending::idle);
+  if (busy_ || leaving_) stream_.end(CloseReason::idle);
   else late_ = true;
   signal_.raise();
 }
@@ -124,7 +125,7 @@
       state = reader_.next(stream_.in(), request);
       holds(stream_.in().capacity() + reader_.held() + request.body.capacity());
       if (state == HttpReader::State::whole || state == HttpReader::State::bad) break;
-      if (hold_.sum > hold_.most && !reader_.between()) {  // a body that has no room: it is not kept
+      if (memory_.sum > memory_.most && !reader_.between()) {  // a body that has no room: it is not kept
         tooMuch = true;
         break;
       }
@@ -201,8 +202,8 @@
     if (stream_.open()) co_await signal_;
   }
   if (ticket_) {
-    debug().with("command", ticket_->ask.id)
-        << "client: has gone without an answer to " << ticket_->ask.id << ": " << nameOf(stream_.ending());
+    debug().with("command", ticket_->ask.id) << "client: has gone without an answer to " << ticket_->ask.id
+                                             << ": " << nameOf(stream_.closeReason());
     desk_.withdraw(std::exchange(ticket_, nullptr));
   }
   busy_ = false;
--- a/src/serve/client.h
+++ b/src/serve/client.h
@@ -14,14 +14,15 @@
 namespace elmcleat {
 
 // What all clients' connections together hold of requests, and how much that may be.
-struct Hold {
+struct MemoryBudget {
   size_t most = 0, sum = 0;
 };
 
 class Client final : public Asker {
  public:
   // `full`: too many have come, so its first request is turned away, harmlessly, and it is closed.
-  Client(Scheduler& scheduler, const Settings& settings, Desk& desk, Hold& hold, int fd, bool full = false);
+  Client(Scheduler& scheduler, const Settings& settings, Desk& desk, MemoryBudget& hold, int fd,
+         bool full = false);
   ~Client() override;
   // Called when nothing is owed to it any more, and when the connection is over.
   void tell(std::function<void()> done, std::function<void()> over) {
@@ -35,7 +36,7 @@
   double idleSince() const { return idleSince_; }
   bool hasAsked() const { return asked_; }
   bool leaving() const { return leaving_; }
-  bool giveWay();  // closes unless a request has come meanwhile; for idle ones
+  bool tryEvict();  // closes unless a request has come meanwhile; for idle ones
   // No client comes any more: what rests is told so by a half-close, what has begun to come is still served.
   void drain();
   bool pending() const { return open() && !leaving_; }  // something is, or may be, owed to it
@@ -58,7 +59,7 @@
   Scheduler& scheduler_;
   const Settings& settings_;
   Desk& desk_;
-  Hold& hold_;
+  MemoryBudget& memory_;
   size_t held_ = 0;  // our part of it
   std::function<void()> done_, over_;
   Signal signal_;
--- a/src/serve/ending.cpp
+++ b/src/serve/close_reason.cpp
@@ -1,14 +1,14 @@
-#include "serve/ending.h"
+#include "serve/close_reason.h"
 
 namespace elmcleat {
 
-Outcome outcomeOf(Ending ending, bool begun) {
-  if (begun) return ending == Ending::timedOut ? Outcome::expired : Outcome::reset;
+Outcome outcomeOf(CloseReason ending, bool begun) {
+  if (begun) return ending == CloseReason::timedOut ? Outcome::expired : Outcome::reset;
   switch (ending) {
     // Nothing was tried at the engine, so nothing is said of it.
-    case Ending::noDescriptor:
-    case Ending::replaced:
-    case Ending::timedOut:
+    case CloseReason::noDescriptor:
+    case CloseReason::replaced:
+    case CloseReason::timedOut:
       return Outcome::unused;
     default:
       return Outcome::connectFailed;
--- a/src/serve/ending.h
+++ b/src/serve/close_reason.h
@@ -2,12 +2,12 @@
 #pragma once
 #include "policy.h"
 #include "protocol/engine_lines.h"
-#include "runtime/ending.h"
+#include "runtime/close_reason.h"
 
 namespace elmcleat {
 
 // What the module is told of a send whose connection ended; `begun`: its first byte had gone out.
-Outcome outcomeOf(Ending ending, bool begun);
+Outcome outcomeOf(CloseReason ending, bool begun);
 // What it is told of a send, or a probe, that the engine answered.
 Outcome outcomeOf(Word word);
 
--- a/src/serve/door.cpp
+++ b/src/serve/door.cpp
@@ -41,7 +41,7 @@
       config_(config),
       desk_(desk),
       most_(mostClients(config.sockets)),
-      hold_{config.memoryMb * (1 << 20) / 4},
+      memory_{config.memoryMb * (1 << 20) / 4},
       signal_(scheduler),
       again_(scheduler, [this] { signal_.raise(); }),
       leaving_(scheduler, [this] { close(); }),
@@ -56,7 +56,7 @@
   task_.start();
 }
 
-void Door::leave() {
+void Door::drain() {
   if (std::exchange(told_, true)) return;
   info() << "leaving: " << clients_.size() << " connections open";
   leaving_.set(scheduler_.now() + kComing);
@@ -99,12 +99,12 @@
   while (true) {
     int fd = ::accept4(listener_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd >= 0) {
-      admit(fd, clients_.size() >= most_ && !makeRoom());
+      admit(fd, clients_.size() >= most_ && !evictIdle());
       return true;
     }
     if (errno == EAGAIN) return false;
     bool none = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
-    if (!none || makeRoom()) continue;  // whatever else is wrong is wrong with that connection alone
+    if (!none || evictIdle()) continue;  // whatever else is wrong is wrong with that connection alone
     warn() << "door: no descriptor for a connection: " << std::strerror(errno);
     again_.set(scheduler_.now() + kPause);
     return false;
@@ -113,7 +113,7 @@
 
 // The first read is made at once, before the next connection is accepted.
 void Door::admit(int fd, bool full) {
-  auto client = std::make_shared<Client>(scheduler_, config_.settings, desk_, hold_, fd, full);
+  auto client = std::make_shared<Client>(scheduler_, config_.settings, desk_, memory_, fd, full);
   Client* who = client.get();
   who->tell([this] { endIfDone(); }, [this, who] { over(who); });
   clients_.emplace(who, std::move(client));
@@ -122,14 +122,14 @@
 
 // First who has had its last answer, then who has connected and said nothing, or nothing whole; then who has been idle
 // for longest.
-bool Door::makeRoom() {
+bool Door::evictIdle() {
   std::vector<Client*> idle;
   for (auto& [client, held] : clients_)
     if (client->idle()) idle.push_back(client);
   std::ranges::sort(idle, {}, [](Client* client) {
     return std::tuple(!client->leaving(), client->hasAsked(), client->idleSince());
   });
-  return std::ranges::any_of(idle, [](Client* client) { return client->giveWay(); });
+  return std::ranges::any_of(idle, [](Client* client) { return client->tryEvict(); });
 }
 
 void Door::over(Client* client) {
--- a/src/serve/door.h
+++ b/src/serve/door.h
@@ -12,10 +12,10 @@
  public:
   Door(Scheduler& scheduler, const Config& config, Desk& desk);
   void open();
-  bool makeRoom();  // closes the connection that is least likely to ask; false: there is none
+  bool evictIdle();  // closes the connection that is least likely to ask; false: there is none
   // Graceful shutdown: accepts and serves on for as long as clients may come, and ends the scheduler when all is
   // answered and who rests has been told. Asked again it changes nothing.
-  void leave();
+  void drain();
 
  private:
   Task run();
@@ -29,7 +29,7 @@
   const Config& config_;
   Desk& desk_;
   const size_t most_;  // connections of clients
-  Hold hold_;
+  MemoryBudget memory_;
   Signal signal_;
   Timer again_;    // accepting goes on after a pause for want of descriptors
   Timer leaving_;  // no more clients come
--- a/src/serve/engine.cpp
+++ b/src/serve/engine.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "runtime/log.h"
-#include "serve/ending.h"
+#include "serve/close_reason.h"
 
 namespace elmcleat {
 namespace {
@@ -19,7 +19,7 @@
 Engine::Link::Link(Scheduler& scheduler, Signal& signal, std::function<void()> late)
     : stream(scheduler, signal, kMostIn, kMostOut),
       timer(scheduler, std::move(late)),
-      rest(scheduler, [this, &signal] { stream.end(Ending::cutShort), signal.raise(); }) {}
+      rest(scheduler, [this, &signal] { stream.end(CloseReason::cutShort), signal.raise(); }) {}
 
 Engine::Engine(Scheduler& scheduler, const LinkSettings& settings, Desk& desk, uint32_t id,
                const size_t& most, LinkRoom& room)
@@ -76,22 +76,22 @@
 // No connection takes anything new; what has not begun to go out never will (rule 3: for drains a send counts
 // from its first byte).
 void Engine::release() {
-  while (!waiting_.empty()) endWaiting(*waiting_.front()->ticket, Ending::replaced);
+  while (!waiting_.empty()) endWaiting(*waiting_.front()->ticket, CloseReason::replaced);
   for (auto& link : links_) {
     link->old = true;
     for (auto at = link->sends.begin(); at != link->sends.end();) {
       Send& send = *(at++)->second;
       if (send.place && !link->stream.withdraw(*send.place)) continue;
-      finish(*link, send, outcomeOf(Ending::replaced, false));
+      finish(*link, send, outcomeOf(CloseReason::replaced, false));
     }
-    if (link->sends.empty()) link->stream.end(Ending::replaced);
+    if (link->sends.empty()) link->stream.end(CloseReason::replaced);
   }
 }
 
 // --- from the desk
 void Engine::send(std::shared_ptr<Ticket> ticket, double until) {
   mailbox_.post([this, ticket = std::move(ticket), until] {
-    if (retired_) return desk_.ended(ticket, outcomeOf(Ending::replaced, false), 0, {}, {}, {});
+    if (retired_) return desk_.ended(ticket, outcomeOf(CloseReason::replaced, false), 0, {}, {}, {});
     double now = scheduler_.now();
     // Notes on every send come at a set pace: where two of them fail to come, the engine is cut off or gone.
     if (settings_.noteEvery > 0 && sends_ > 0 && now > quietSince_ + 2 * settings_.noteEvery) doubt();
@@ -100,11 +100,11 @@
 }
 
 void Engine::begin(std::shared_ptr<Ticket> ticket, double until) {
-  if (!mayBegin(*ticket)) return desk_.ended(ticket, outcomeOf(Ending::timedOut, false), 0, {}, {}, {});
+  if (!mayBegin(*ticket)) return desk_.ended(ticket, outcomeOf(CloseReason::timedOut, false), 0, {}, {}, {});
   Link* link = linkFor(*ticket);
   if (!link) {  // it waits for a connection, at most until its time is up
-    auto& one = waiting_.emplace_back(
-        std::make_unique<Waiting>(scheduler_, [this, ticket] { endWaiting(*ticket, Ending::timedOut); }));
+    auto& one = waiting_.emplace_back(std::make_unique<Waiting>(
+        scheduler_, [this, ticket] { endWaiting(*ticket, CloseReason::timedOut); }));
     one->ticket = ticket, one->until = until;
     one->deadline.set(std::min(until, ticket->beginBy));
     return room_.wait(signal_);
@@ -129,7 +129,7 @@
 }
 
 // A send that waits for a connection never ran.
-void Engine::endWaiting(const Ticket& ticket, Ending ending) {
+void Engine::endWaiting(const Ticket& ticket, CloseReason ending) {
   auto found = std::ranges::find_if(waiting_, [&](auto& one) { return one->ticket.get() == &ticket; });
   if (found == waiting_.end()) return;
   auto kept = std::move(*found);  // the call may come from its timer
@@ -175,7 +175,7 @@
 void Engine::cancel(std::shared_ptr<Ticket> ticket) {
   mailbox_.post([this, ticket = std::move(ticket)] {
     if (auto [link, send] = find(*ticket); send) giveUp(*link, *send, Outcome::cancelled);
-    else endWaiting(*ticket, Ending::timedOut);
+    else endWaiting(*ticket, CloseReason::timedOut);
   });
 }
 
@@ -184,7 +184,7 @@
 void Engine::withdraw(std::shared_ptr<Ticket> ticket) {
   mailbox_.post([this, ticket = std::move(ticket)] {
     if (auto [link, send] = find(*ticket); send) endUnbegun(*link, *send);
-    else endWaiting(*ticket, Ending::timedOut);
+    else endWaiting(*ticket, CloseReason::timedOut);
   });
 }
 
@@ -211,15 +211,15 @@
 // A send of which nothing has gone out never ran. False: something has.
 bool Engine::endUnbegun(Link& link, Send& send) {
   if (send.place && !link.stream.withdraw(*send.place)) return false;
-  finish(link, send, outcomeOf(Ending::timedOut, false));
+  finish(link, send, outcomeOf(CloseReason::timedOut, false));
   return true;
 }
 
 void Engine::probe() {
   mailbox_.post([this] {
-    if (retired_) return desk_.probed(id_, outcomeOf(Ending::replaced, false), {});
+    if (retired_) return desk_.probed(id_, outcomeOf(CloseReason::replaced, false), {});
     Link* found = linkForProbe();
-    if (!found) return desk_.probed(id_, outcomeOf(Ending::noDescriptor, false), {});
+    if (!found) return desk_.probed(id_, outcomeOf(CloseReason::noDescriptor, false), {});
     Link& link = *found;
     std::string tag(1, 'p');  // no id of a command begins so
     tag += std::to_string(++probes_);
@@ -270,10 +270,11 @@
 Engine::Link& Engine::connect(bool again) {
   auto& made = links_.emplace_back();
   made = std::make_unique<Link>(scheduler_, signal_, [this, slot = &made] { late(**slot); });
-  made->place = room_.take([this, link = made.get()] { link->stream.end(Ending::idle), signal_.raise(); });
+  made->place =
+      room_.take([this, link = made.get()] { link->stream.end(CloseReason::idle), signal_.raise(); });
   made->timer.set(scheduler_.now() + settings_.connectTimeout);
   made->stream.connect(address_);
-  if (made->stream.ending() == Ending::noDescriptor && again && room_.evict()) {
+  if (made->stream.closeReason() == CloseReason::noDescriptor && again && room_.evict()) {
     links_.pop_back();
     return connect(false);
   }
@@ -282,9 +283,9 @@
 }
 
 void Engine::late(Link& link) {
-  if (!link.up) link.stream.end(Ending::connectLate);
-  else if (link.doubted) link.stream.end(Ending::silent);
-  else if (link.sends.empty() && link.probes.empty()) link.stream.end(Ending::idle);
+  if (!link.up) link.stream.end(CloseReason::connectLate);
+  else if (link.doubted) link.stream.end(CloseReason::silent);
+  else if (link.sends.empty() && link.probes.empty()) link.stream.end(CloseReason::idle);
   signal_.raise();
 }
 
@@ -295,7 +296,7 @@
   for (auto& link : links_) {
     if (!link->up || link->old) continue;
     any = link->old = true;
-    if (link->sends.empty() && link->probes.empty()) link->stream.end(Ending::silent);
+    if (link->sends.empty() && link->probes.empty()) link->stream.end(CloseReason::silent);
   }
   if (!any) return;
   warn().with("engine", name()) << name() << ": silent for " << scheduler_.now() - quietSince_ << " s, "
@@ -308,7 +309,7 @@
 void Engine::rest(Link& link) {
   if (!link.sends.empty() || !link.probes.empty() || !link.up || !link.stream.open()) return;
   if (link.old) {
-    link.stream.end(Ending::replaced);
+    link.stream.end(CloseReason::replaced);
     signal_.raise();
   } else {
     link.timer.set(scheduler_.now() +
@@ -336,9 +337,9 @@
     while ((state = link.reader.next(link.stream.in(), answer)) == EngineReader::State::whole) {
       news = true;
       heed(link, answer);
-      if (link.stream.ending() == Ending::garbled) return;
+      if (link.stream.closeReason() == CloseReason::garbled) return;
     }
-    if (state == EngineReader::State::bad) link.stream.end(Ending::garbled);
+    if (state == EngineReader::State::bad) link.stream.end(CloseReason::garbled);
   } while (link.stream.open() && link.stream.cutShort());
   if (!link.stream.drained())  // the engine has read little for a while
     for (auto at = link.sends.begin(); at != link.sends.end();)
@@ -360,8 +361,9 @@
 }
 
 void Engine::lost(Link& link) {
-  Ending ending = link.stream.ending();
-  bool news = ending != Ending::idle && ending != Ending::replaced && ending != Ending::timedOut;
+  CloseReason ending = link.stream.closeReason();
+  bool news =
+      ending != CloseReason::idle && ending != CloseReason::replaced && ending != CloseReason::timedOut;
   if (news || !link.sends.empty())
     warn().with("engine", name()) << name() << " at " << textOf(address_)
                                   << ": connection ended: " << nameOf(ending) << ", " << link.sends.size()
@@ -385,7 +387,7 @@
   auto found = link.sends.find(answer.id);
   if (found ==
       link.sends.end()) {  // to nothing asked, or a second copy: it harms nothing, unless they never end
-    if (++link.strays > kMostStrays) link.stream.end(Ending::garbled);
+    if (++link.strays > kMostStrays) link.stream.end(CloseReason::garbled);
     return;
   }
   link.strays = 0;
@@ -404,7 +406,7 @@
     case Word::over:
       return finish(link, send, outcomeOf(answer.word), answer.bill, answer.report);
     default:
-      link.stream.end(Ending::garbled);  // a probe's answer under a send's id
+      link.stream.end(CloseReason::garbled);  // a probe's answer under a send's id
   }
 }
 
@@ -412,7 +414,7 @@
   bool first = answer.word == Word::answered;
   if (first ? send.pages.begun() : send.pages.has(answer.page)) return;  // a second copy
   if (!(first ? send.pages.first(answer) : send.pages.further(answer)))
-    return link.stream.end(Ending::garbled);
+    return link.stream.end(CloseReason::garbled);
   const std::string& id = send.ticket->ask.id;
   if (first && send.ticket->over) {  // withdrawn: nobody waits for the pages
     if (send.pages.pages() > 1) link.stream.write(engine_line::close(id));
@@ -423,7 +425,7 @@
   if (!send.pages.whole()) return;
   if (send.pages.pages() > 1) link.stream.write(engine_line::close(id));
   auto rows = send.pages.rows();
-  if (!rows) return link.stream.end(Ending::garbled);
+  if (!rows) return link.stream.end(CloseReason::garbled);
   finish(link, send, Outcome::answered, answer.bill, answer.report, std::move(rows));
 }
 
@@ -444,7 +446,7 @@
   signal_.raise();
   if (link.sends.size() == 1) {
     finish(link, send, what);
-    return link.stream.end(Ending::timedOut);
+    return link.stream.end(CloseReason::timedOut);
   }
   link.stream.write(send.pages.begun() ? engine_line::close(id) : engine_line::drop(id));
   drop(link, id);
--- a/src/serve/engine.h
+++ b/src/serve/engine.h
@@ -79,7 +79,7 @@
   Task run();
   void begin(std::shared_ptr<Ticket> ticket, double until);
   void beginWaiting();
-  void endWaiting(const Ticket& ticket, Ending ending);
+  void endWaiting(const Ticket& ticket, CloseReason ending);
   void serve(Link& link);
   void heed(Link& link, EngineAnswer& answer);
   void heedPage(Link& link, Send& send, EngineAnswer& answer);
--- a/src/serve/fleet.cpp
+++ b/src/serve/fleet.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "runtime/log.h"
-#include "serve/ending.h"
+#include "serve/close_reason.h"
 
 namespace elmcleat {
 namespace {
@@ -54,7 +54,8 @@
     within(config_.links.connectTimeout);
     moved_ = false;
     stream.connect(changeLog_);
-    if (stream.ending() == Ending::noDescriptor && !std::exchange(evicted, true) && room_.evict()) continue;
+    if (stream.closeReason() == CloseReason::noDescriptor && !std::exchange(evicted, true) && room_.evict())
+      continue;
     evicted = false;
     bool up = false, heard = false;
     while (stream.open()) {
@@ -66,14 +67,14 @@
       }
       stream.flush();
       if (up && read(stream)) heard = true, within(kSilence);
-      if (moved_) stream.end(Ending::replaced);  // after what it had told is read
-      if (late_) stream.end(up ? Ending::silent : Ending::connectLate);
+      if (moved_) stream.end(CloseReason::replaced);  // after what it had told is read
+      if (late_) stream.end(up ? CloseReason::silent : CloseReason::connectLate);
       if (!stream.open()) break;
       co_await signal_;
       mailbox_.drain();
     }
     timer_.clear();
-    if (up || first) warn() << "change log: connection ended: " << nameOf(stream.ending());
+    if (up || first) warn() << "change log: connection ended: " << nameOf(stream.closeReason());
     // What has told something, or is another, is asked at once, but never faster than what tells nothing.
     if (moved_ || (heard && scheduler_.now() >= began + kPause)) continue;
     within(kPause);
@@ -92,7 +93,7 @@
     ListEvent event;
     for (FrameReader::State state; (state = reader_.next(stream.in(), event)) != FrameReader::State::more;) {
       if (state == FrameReader::State::bad) {
-        stream.end(Ending::garbled);
+        stream.end(CloseReason::garbled);
         return any;
       }
       any = true;
@@ -142,7 +143,7 @@
   mailbox_.post([this, node, ticket = std::move(ticket), until] {
     if (auto found = engines_.find(node); found != engines_.end()) return found->second->send(ticket, until);
     // It has gone, and was forgotten, since the module decided.
-    desk_.ended(ticket, outcomeOf(Ending::replaced, false), 0, {}, {}, {});
+    desk_.ended(ticket, outcomeOf(CloseReason::replaced, false), 0, {}, {}, {});
   });
 }
 
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -12,8 +12,8 @@
 #include "serve/answer.h"
 #include "serve/ask.h"
 #include "serve/client.h"
+#include "serve/close_reason.h"
 #include "serve/desk.h"
-#include "serve/ending.h"
 #include "serve/engine.h"
 
 using namespace elmcleat;
@@ -155,7 +155,7 @@
   CHECK_FALSE(stream.begun(waits));
   CHECK(stream.withdraw(waits));
   stream.write(std::string(1 << 20, 'x'));
-  CHECK_EQ(int(stream.ending()), int(Ending::overfull));
+  CHECK_EQ(int(stream.closeReason()), int(CloseReason::overfull));
   ::close(ends[1]);
 }
 
@@ -165,18 +165,18 @@
   Desk desk(loop.scheduler, settings, 1);
   int ends[2];
   REQUIRE_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
-  Hold hold{1 << 20};
+  MemoryBudget hold{1 << 20};
   Client client(loop.scheduler, settings, desk, hold, ends[0]);
   client.tell([] {}, [] {});
   client.start();
   REQUIRE_EQ(::write(ends[1], "GET /check HTTP/1.1\r\n\r\n", 23), 23);
-  CHECK_FALSE(client.giveWay());
-  CHECK_FALSE(client.giveWay());
+  CHECK_FALSE(client.tryEvict());
+  CHECK_FALSE(client.tryEvict());
   loop.runFor(0.005);
   char answer[12];
   REQUIRE_EQ(::read(ends[1], answer, sizeof answer), sizeof answer);
   CHECK_EQ(std::string(answer, sizeof answer), "HTTP/1.1 200");
-  CHECK(client.giveWay());
+  CHECK(client.tryEvict());
   ::close(ends[1]);
 }
 
@@ -269,8 +269,8 @@
 
 TEST_CASE("each way to end has its outcome") {
   std::ostringstream told;
-  for (int i = int(Ending::refused); i <= int(Ending::timedOut); ++i) {
-    auto ending = static_cast<Ending>(i);
+  for (int i = int(CloseReason::refused); i <= int(CloseReason::timedOut); ++i) {
+    auto ending = static_cast<CloseReason>(i);
     told << nameOf(ending) << ": " << outcomeName(outcomeOf(ending, false)) << ", "
          << outcomeName(outcomeOf(ending, true)) << "; ";
   }
