--- a/src/lab/baseline.h
+++ b/src/lab/baseline.h
@@ -1,5 +1,6 @@
 // Gateways to measure against; never a part of the program.
 #pragma once
+#include <cmath>
 #include <deque>
 #include <map>
 
@@ -43,7 +44,7 @@
         continue;
       }
       one->node = place->first, place->second += one->threads;
-      outlet_.send(*one, place->first, 0);
+      outlet_.send(*one, place->first, 0, HUGE_VAL);
     }
     outlet_.wake(now_ + 0.05);
   }
