A door that closes while it takes turns with a stampede no longer crashes

Found by reading Door::run: at the bound of clients it waits for others' turns in the midst of accepting; if the time to close comes then, it goes on to accept4 on a listener that is gone. Test: tests/parts_test.cpp lays 300 connections, tells the door to end and holds its second turn past the time to close: SIGSEGV each time without the look, an orderly end with it (three runs).

--- a/src/serve/door.cpp
+++ b/src/serve/door.cpp
@@ -80,6 +80,7 @@
     while (listener_) {
       if (clients_.size() >= most_ + kTurnedAway) {
         co_await signal_.others();  // those that are closed leave
+        if (!listener_) break;      // and the time to close may have come
         if (clients_.size() >= most_ + kTurnedAway) {
           again_.set(scheduler_.now() + kPause);
           break;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -14,6 +14,7 @@
 #include "serve/client.h"
 #include "serve/close_reason.h"
 #include "serve/desk.h"
+#include "serve/door.h"
 #include "serve/engine.h"
 
 using namespace elmcleat;
@@ -256,6 +257,40 @@
   CHECK_GE(turns, 6);  // 1 MB: no more than 160 KB a turn
 }
 
+// The door stands between two of its turns, in the middle of those who connect, when its time to close comes.
+TEST_CASE("the door closes while it takes turns with a stampede") {
+  Loop loop;
+  Config config;
+  sockaddr_in native{};
+  native.sin_family = AF_INET, native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof native;
+  int probe = ::socket(AF_INET, SOCK_STREAM, 0);  // a port that is free, most likely
+  REQUIRE_EQ(::bind(probe, reinterpret_cast<sockaddr*>(&native), size), 0);
+  ::getsockname(probe, reinterpret_cast<sockaddr*>(&native), &size);
+  ::close(probe);
+  config.listen = {INADDR_LOOPBACK, ntohs(native.sin_port)}, config.sockets = 96, config.memoryMb = 192;
+  Desk desk(loop.scheduler, config.settings, 1);
+  Door door(loop.scheduler, config, desk);
+  door.open();
+  std::vector<int> stampede;
+  for (int i = 0; i < 300; ++i) {
+    stampede.push_back(::socket(AF_INET, SOCK_STREAM, 0));
+    REQUIRE_EQ(::connect(stampede.back(), reinterpret_cast<sockaddr*>(&native), size), 0);
+  }
+  door.drain();
+  double due = loop.scheduler.now() + 0.8;
+  auto stall = [](Scheduler& scheduler, double until) -> Task {  // in the second turn, past that time
+    Signal signal(scheduler);
+    for (int turn = 0; turn < 2; ++turn) co_await signal.others();
+    while (scheduler.now() < until) ::usleep(1000);
+  };
+  Task task = stall(loop.scheduler, due);
+  task.start();
+  loop.scheduler.run();  // to its own end: all are told, and it has waited for them
+  CHECK_GE(loop.scheduler.now(), due);
+  for (int fd : stampede) ::close(fd);
+}
+
 TEST_CASE("each way to end has its outcome") {
   std::ostringstream told;
   for (int i = int(CloseReason::refused); i <= int(CloseReason::timedOut); ++i) {
