The control thread has its name before the program listens: a test of it failed once

Seen: 'members are off unless asked for' found no thread called control in one of two runs of the service tests, with three other test programs beside it (service_test.cpp:723). The thread named itself, so the program could listen before. Now its maker names it. Eight runs side by side pass, and the threads' tests.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -80,10 +80,8 @@
   tell(*inside_, clock.now());  // there is something to go by from the first command on
   info() << "members: fleet '" << plan.fleet << "', " << plan.peers.size() << " listed; listens on "
          << textOf(plan.peers[size_t(inside_->self)].at);
-  thread_ = std::thread([this] {
-    pthread_setname_np(pthread_self(), "control");
-    run();
-  });
+  thread_ = std::thread([this] { run(); });
+  pthread_setname_np(thread_.native_handle(), "control");  // by us: it has its name once we are made
 }
 
 Control::~Control() {
