--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -122,7 +122,7 @@
 struct Node {
   uint32_t id = 0;
   std::string zone, kind;
-  int cell = 0;
+  int cell = 0, place = -1;  // the latter: of this gateway among those that use it
   double cores = 1, memoryMb = 0;
   bool listed = false, gone = false;
   std::optional<double> startedAt;
@@ -382,7 +382,7 @@
         if (known.name == row.kind) node.cores = std::max(known.cores, 1.0), node.memoryMb = known.memoryMb;
       node.homeRank = std::log(mix(row.id, salt)) / node.cores;
       node.listed = row.state == NodeState::inService;  // rule 3: at once, whatever the grace
-      node.gone = row.state == NodeState::gone;
+      node.gone = row.state == NodeState::gone, node.place = row.place.value_or(set.ordinal);
       if (std::exchange(node.startedAt, row.startedAt) != row.startedAt)
         node.restUntil = std::min(node.restUntil, now);
     }
@@ -445,14 +445,14 @@
 
   // Rule 4 among many, as 1/N of a cold node's budget is less than a command: in each slot of its time, from
   // its start on, a few known by a hash have all of it. A window touches three slots; a fourth by slow sends.
-  bool byTurns(const Node& node) const { return cold(node) && set.ordinal >= 0 && share() < kByTurns; }
+  bool byTurns(const Node& node) const { return cold(node) && node.place >= 0 && share() < kByTurns; }
   double right(Node& node) {
     double budget = set.fallMultiple * set.coldFrom * node.cores * set.fallTime;
     if (!byTurns(node)) return kSafeCapacity * budget * share() - node.coldWork.sum(now);
     double length = set.fallTime / kSlots;
     int64_t slot = int64_t(std::floor((now - *node.startedAt) / length)), holds = 0;
     for (int i = 0; i < int(kHolders); ++i)
-      holds += int(mix(node.id, ~uint64_t(slot * int(kHolders) + i)) * set.gateways) == set.ordinal;
+      holds += int(mix(node.id, ~uint64_t(slot * int(kHolders) + i)) * set.gateways) == node.place;
     if (holds == 0 || *node.startedAt + double(slot) * length < openedAt) return 0;  // an earlier life had it
     if (std::exchange(node.slot, slot) != slot) node.slotWork = 0;
     return kSlotPart * budget / kHolders - node.slotWork;
@@ -562,11 +562,11 @@
     double longest = kRestLast * kTrials / evidence();  // a trial is dear where few sends come to one node
     node.restTime = relapse ? std::min(node.restTime * 2, longest) : kRestFirst;
     node.fails.add(now, std::exchange(node.late, 0));  // seen for a while yet: else one blames the next
-    node.resting = true, node.trials = 0, node.restUntil = now + node.restTime;
+    node.resting = true, node.trials = 0, node.restUntil = now + node.restTime, out.rests(node.id, true);
   }
 
   void well(Node& node) {
-    node.resting = false, node.wellSince = now, node.fails = TimeRing(kFailSpan);
+    node.resting = false, node.wellSince = now, node.fails = TimeRing(kFailSpan), out.rests(node.id, false);
     log("node %u is back: %d trials answered", node.id, node.trials);
   }
 
--- a/src/policy.h
+++ b/src/policy.h
@@ -70,6 +70,7 @@
   int cell = 0;
   NodeState state = NodeState::inService;
   std::optional<double> startedAt;
+  std::optional<int> place = {};  // of this gateway among those that use it; none: its ordinal among all
 };
 struct Arrival {
   std::string profile, tenant;
@@ -103,6 +104,7 @@
   virtual void followList() = 0;
   virtual void wake(double at) = 0;
   virtual void log(const std::string& line) = 0;
+  virtual void rests(uint32_t, bool) {}  // a node has been found unfit, or fit again
 };
 
 // Who may start now, and who comes first, where budgets are set (src/budget). The module then asks it at its turns
