The view's core: rendezvous hash by engine, reach by class, lists applied by difference

A dispatcher is told the engines that it uses out of a list that may be far longer: the first `users` of all dispatchers in an order by engine, more of the same order while too little of a class is usable. Guards are not yet taken out one by one.

--- /dev/null
+++ b/src/view/reach.h
@@ -0,0 +1,50 @@
+// How far the view goes for one class: the commands that may run in the same zones and on the same kinds of engines.
+//
+// Usable engines (in service, warm, not found unfit) are counted by this dispatcher's place among their users. The reach
+// is the least place, and one, with which enough of them are in view. It grows as soon as more is needed, and shrinks by
+// an eighth a second once less has done for a while. Nothing here walks engines.
+#pragma once
+#include <cmath>
+#include <string>
+#include <vector>
+
+#include "view/plan.h"
+
+namespace elmcleat::view {
+
+class Reach {
+ public:
+  // `dispatchers`: all there are. Empty zones or kinds: any.
+  Reach(const Plan& plan, int dispatchers, std::string name, std::vector<std::string> zones,
+        std::vector<std::string> kinds);
+
+  const std::string& name() const { return name_; }
+  bool serves(const std::string& zone, const std::string& kind) const;
+  bool sameAs(const std::vector<std::string>& zones, const std::vector<std::string>& kinds) const {
+    return zones_ == zones && kinds_ == kinds;
+  }
+
+  void list(int by) { listed_ += by; }             // engines in service come (1) or go (-1), wherever they are;
+  void count(int place, int by);                   // those that are usable, by place;
+  void countCold(int by) { coldInView_ += by; }    // those that are cold and in the base view
+  int listed() const { return listed_; }
+
+  int bound() const;  // over which the reach never goes
+  int need() const;   // usable engines that have to be in view, if there are so many
+  int now() const { return reach_; }
+  void settle(double now);
+  double wakes() const { return narrowsAt_; }  // HUGE_VAL: not by itself
+  bool served() const { return usableInView_ + coldInView_ > 0; }
+
+ private:
+  Plan plan_;
+  int dispatchers_, base_;
+  std::string name_;
+  std::vector<std::string> zones_, kinds_;  // sorted
+  std::vector<int> usable_;                 // by place, as far as any is known
+  int listed_ = 0, coldInView_ = 0, usableInView_ = 0;
+  int reach_;
+  double narrowsAt_ = HUGE_VAL;
+};
+
+}  // namespace elmcleat::view
--- a/src/view/view.h
+++ b/src/view/view.h
@@ -12,12 +12,16 @@
 #pragma once
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "policy.h"
 #include "protocol/change_log.h"
 #include "view/plan.h"
+#include "view/reach.h"
 
 namespace elmcleat::view {
 
@@ -51,6 +55,60 @@
   // A class that can't be served here although the list has engines for it: told once until it can.
   std::vector<std::string> lines();
   Figures figures() const;
+
+ private:
+  struct Make {  // what engines of one zone and kind have in common
+    std::string zone, kind;
+    std::vector<size_t> classes;  // that they serve, of reaches_
+    int cap = 0;                  // to which their places are known; it never falls
+  };
+  struct Entry {  // an engine of the list, in view or not
+    int64_t bornMs = 0;
+    uint32_t id = 0, host = 0;
+    int cell = 0;
+    int place = 0;  // if it is not `near`: no less than that
+    uint16_t port = 0, make = 0;
+    NodeState state : 3 = NodeState::inService;
+    bool near : 1 = false;     // its place is known
+    bool indexed : 1 = false;  // stands in near_ and is counted
+    bool inView : 1 = false;   // as told
+    bool rests : 1 = false, cold : 1 = false;
+    bool changed : 1 = false;  // since it was told
+  };
+  static_assert(sizeof(Entry) == 32);  // with what vectors keep in reserve and near_ well within 64 an engine
+  using Changes = std::vector<Change>;
+
+  uint16_t makeOf(const std::string& zone, const std::string& kind);
+  Entry entryOf(const Listing& listing, double now);
+  Listing listingOf(const Entry& entry) const;
+  Entry* find(uint32_t id);
+  double warmAt(int64_t bornMs) const { return double(bornMs) / 1000 + settings_.coldTime; }
+
+  void update(Entry& entry, const Listing& listing, double now);
+  void remove(Entry& entry, Changes& changes);
+  void list(const Entry& entry, int by);   // count it among those in service, or no longer
+  void index(Entry& entry, bool is);       // what is kept by place
+  void rank(Entry& entry);                 // as far as its make's cap asks for
+  void raiseCaps();
+  bool belongs(const Entry& entry) const;  // in view
+  void tell(Entry& entry, Changes& changes);
+  void settle(double now, Changes& changes);
+
+  Plan plan_;
+  Settings settings_;
+  int base_;  // the first so many use an engine
+  std::vector<Reach> reaches_;
+  std::vector<Make> makes_;
+  std::unordered_map<std::string, uint16_t> makeByName_;  // zone, line end, kind
+  std::vector<Entry> table_;                              // by id
+  std::set<std::pair<int, uint32_t>> near_;               // place and id: some cap / N of the list
+  std::set<std::pair<int64_t, uint32_t>> cold_;           // start and id, of those in near_
+  std::vector<uint32_t> touched_;                         // to be looked at by settle()
+  std::vector<bool> told_;                                // by class: that it can't be served
+  size_t listed_ = 0, used_ = 0;
+  uint64_t ranked_ = 0;
+  double now_ = 0;
+  bool due_ = false;  // tick() has something to do at once
 };
 
 }  // namespace elmcleat::view
