--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,6 @@
 #include "config/config.h"
 
+#include <array>
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
@@ -37,10 +38,40 @@
   return one;
 }
 
-std::vector<ListEvent> readKnown(const Section& known) {
+// Rows of the list by result, taken while the file is parsed: as a document 44,000 engines would take 50 MB. Where one
+// of them can't be read, nothing is taken, and what is wrong is told from the whole document.
+class KnownRows {
+ public:
+  bool sound() const { return sound_; }
+  std::vector<Listing> take(size_t result) {
+    return result < rows_.size() ? std::move(rows_[result]) : std::vector<Listing>{};
+  }
+  // For the parser: false drops what has just been read.
+  bool keeps(int depth, Json::parse_event_t event, const Json& parsed) {
+    using Event = Json::parse_event_t;
+    if (event == Event::key && depth < int(path_.size())) path_[size_t(depth)] = parsed.get<std::string>();
+    if (path_[1] != "known" || path_[2] != "results") return true;
+    if (event == Event::object_start && depth == 3) rows_.emplace_back(), path_[4] = path_[5] = "";
+    if (depth != 6 || path_[4] != "fleet" || path_[5] != "hosts") return true;
+    if (event == Event::value || event == Event::array_start) return !(sound_ = false);
+    if (event != Event::object_end) return true;
+    try {
+      rows_.at(rows_.size() - 1).push_back(readListing(Section(parsed)));
+    } catch (const std::exception&) { sound_ = false; }
+    return false;
+  }
+
+ private:
+  std::vector<std::vector<Listing>> rows_;
+  std::array<std::string, 6> path_;  // the last key at each depth
+  bool sound_ = true;
+};
+
+std::vector<ListEvent> readKnown(const Section& known, KnownRows* taken) {
   std::vector<ListEvent> events;
   for (auto& result : known.rows("results")) {
     ListEvent& event = events.emplace_back();
+    if (taken) event.rows = taken->take(events.size() - 1);
     event.number = result.need<uint64_t>("seq");
     const Section fleet = result.part("fleet");
     event.whole = fleet.get("whole", false);
@@ -59,9 +90,7 @@
       {{"debug", Level::debug}, {"info", Level::info}, {"warn", Level::warn}, {"error", Level::error}});
 }
 
-}  // namespace
-
-Config readConfig(const Json& json) {
+Config readConfig(const Json& json, KnownRows* taken) {
   if (!json.is_object()) throw std::invalid_argument("the configuration must be an object");
   const Section file(json);
   Config config;
@@ -72,7 +101,7 @@
   config.sockets = file.part("limits").need<size_t>("sockets");
   config.memoryMb = file.part("limits").get<size_t>("memory_mb", 192);
   if (!file.has("known")) file.fault("known", "is missing");
-  config.known = readKnown(file.part("known"));
+  config.known = readKnown(file.part("known"), taken);
   if (!file.has("settings")) file.fault("settings", "is missing");
   const Section settings = file.part("settings");
   config.settings = readSettings(settings);
@@ -83,14 +112,22 @@
   return config;
 }
 
+}  // namespace
+
+Config readConfig(const Json& file) { return readConfig(file, nullptr); }
+
 Config readConfig() {
   const char* path = std::getenv("PROXY_CONFIG");
   if (!path) throw std::invalid_argument("PROXY_CONFIG: is not set");
   std::ifstream file(path);
   if (!file) throw std::invalid_argument(std::string("PROXY_CONFIG: can't read ") + path);
   Json json;
+  KnownRows rows;
   try {
-    json = Json::parse(file);
+    json = Json::parse(file, [&rows](int depth, Json::parse_event_t event, Json& parsed) {
+      return rows.keeps(depth, event, parsed);
+    });
+    if (!rows.sound()) file.clear(), file.seekg(0), json = Json::parse(file);
   } catch (const Json::exception& fault) {
     throw std::invalid_argument(std::string("PROXY_CONFIG: ") + path + ": " + fault.what());
   }
@@ -99,7 +136,7 @@
     if (const char* name = std::getenv("PROXY_NAME")) json["name"] = name;
     if (const char* listen = std::getenv("PROXY_LISTEN")) json["listen"] = listen;
   }
-  return readConfig(json);
+  return readConfig(json, rows.sound() ? &rows : nullptr);
 }
 
 }  // namespace elmcleat
--- a/src/config/gateway.cpp
+++ b/src/config/gateway.cpp
@@ -1,5 +1,7 @@
 #include "config/gateway.h"
 
+#include <algorithm>
+
 #include "gateway_schema.h"  // made from schemas/ when the program is built
 
 namespace elmcleat {
@@ -72,6 +74,16 @@
   return terms;
 }
 
+view::Plan readView(const Section& section) {
+  view::Plan plan;
+  plan.users = section.get("users", plan.users);
+  plan.mostUsers = section.get("mostUsers", std::max(plan.mostUsers, plan.users));
+  plan.least = section.get("least", plan.least);
+  plan.usablePart = section.get("usablePart", plan.usablePart);
+  plan.narrowAfter = section.get("narrowAfterS", plan.narrowAfter);
+  return plan;
+}
+
 GatewayConfig readGateway(const Json& document, const std::string& path) {
   auto faults = schemaFaults(document, kGatewaySchema, path);
   GatewayConfig config;
@@ -116,6 +128,11 @@
       faults.push_back(path +
                        ": shared: budgets name no guarantee and no ceiling in cores: nothing is shared");
   });
+  read("view", [&](const Section& section) {
+    config.view = readView(section);
+    for (auto& flaw : view::flawsOf(*config.view))
+      faults.push_back(path + ": view." + flaw.key + ": " + flaw.why);
+  });
   if (!faults.empty()) throw Faults(std::move(faults));
   return config;
 }
--- a/src/config/gateway.h
+++ b/src/config/gateway.h
@@ -8,6 +8,7 @@
 #include "config/schema.h"
 #include "members/plan.h"
 #include "shared/loans.h"
+#include "view/plan.h"
 
 namespace elmcleat {
 
@@ -15,6 +16,7 @@
   std::optional<budget::Plan> budgets;      // none: the module's own turns decide alone
   std::optional<members::Plan> members;     // none: this process speaks with no other
   std::optional<shared::LoanTerms> shared;  // none: budgets are divided equally; else by loans
+  std::optional<view::Plan> view;           // none: this process uses all engines of the list
 };
 
 // Throws Faults, with all that is wrong.
@@ -24,6 +26,7 @@
 // The sections by themselves; the laboratory's scenarios hold them too.
 budget::Plan readBudgets(const Section& section);
 members::Plan readMembers(const Section& section);
+view::Plan readView(const Section& section);
 // Members and amounts are those of the whole fleet.
 shared::LoanTerms readShared(const Section& section, int members, const budget::Plan& budgets);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,6 +16,7 @@
 #include "serve/desk.h"
 #include "serve/door.h"
 #include "serve/fleet.h"
+#include "view/view.h"
 
 namespace elmcleat {
 namespace {
@@ -42,7 +43,7 @@
 
 // What can change while commands and connections are in hand does: where the list is followed, the level of the
 // log, budgets. A file that can't be used changes nothing; each of the two stands for itself.
-void readAgain(const Options& options, Fleet& fleet, Desk& desk, bool members) {
+void readAgain(const Options& options, Fleet& fleet, Desk& desk, const GatewayConfig& started) {
   try {
     Config config = readConfig();
     Log::filter(options.level.value_or(config.log));
@@ -53,16 +54,17 @@
   try {
     GatewayConfig own = ownConfig(options);
     desk.change(own.budgets);
-    if (own.members.has_value() != members)
+    if (own.members.has_value() != started.members.has_value())
       warn() << "members: as they were: they are switched at a start alone";
+    if (own.view != started.view) warn() << "view: as it was: it changes at a start alone";
   } catch (const std::exception& fault) { warn() << "gateway: the old one stays: " << fault.what(); }
 }
 
 Task heedSignals(const Options& options, const Descriptor& signals, Signal& signal, Fleet& fleet, Desk& desk,
-                 Door& door, bool members) {
+                 Door& door, const GatewayConfig& started) {
   for (signalfd_siginfo heard;;) {
     while (read(signals.fd(), &heard, sizeof heard) != sizeof heard) co_await signal;
-    if (heard.ssi_signo == SIGHUP) readAgain(options, fleet, desk, members);
+    if (heard.ssi_signo == SIGHUP) readAgain(options, fleet, desk, started);
     else door.drain();
   }
 }
@@ -77,6 +79,17 @@
   });
 }
 
+// All of a fleet must reckon with the same number of dispatchers, or an engine's users differ.
+std::unique_ptr<view::View> viewOf(const GatewayConfig& own, const Settings& settings) {
+  if (!own.view) return nullptr;
+  if (own.members && int(own.members->peers.size()) != settings.gateways)
+    throw view::Error(view::Wrong::countsDiffer,
+                      "settings.balancers is " + std::to_string(settings.gateways) + ", members.peers lists " +
+                          std::to_string(own.members->peers.size()),
+                      "settings.balancers");
+  return std::make_unique<view::View>(*own.view, settings);
+}
+
 void serve(const Options& options) {
   int heeded = signalDescriptor();  // first of all: no signal ends us from here on
   Log::form(options.form);
@@ -90,6 +103,9 @@
   // The system may allow fewer than the platform has told us of: the smaller number is the one to keep to.
   if (rlimit held{}; getrlimit(RLIMIT_NOFILE, &held) == 0)
     config.sockets = std::min<size_t>(config.sockets, held.rlim_cur);
+  auto seen = viewOf(own, config.settings);
+  std::optional<Settings> local;
+  if (seen) local = seen->local();
   Clock clock;
   Scheduler scheduler(clock);
   std::unique_ptr<Control> control;
@@ -99,17 +115,17 @@
     control = std::make_unique<Control>(clock, *own.members, config.name, config.seed, sharing);
   Signal signal(scheduler);
   Descriptor signals(scheduler, heeded, signal);
-  Desk desk(scheduler, config.settings, config.seed, own.budgets);
-  Fleet fleet(scheduler, config, desk);
+  Desk desk(scheduler, config.settings, config.seed, own.budgets, local);
+  Fleet fleet(scheduler, config, desk, std::move(seen));
   Door door(scheduler, config, desk);
   fleet.evictBy([&door] { return door.evictIdle(); });
   desk.start(fleet);
-  fleet.start();
+  fleet.start(std::move(config.known));
   std::optional<Timer> look;
   auto heed = [&] { heedShared(*control, desk, *look, clock); };
   if (sharing) look.emplace(scheduler, heed), heed();  // in force before the first command is taken
   door.open();
-  Task heeding = heedSignals(options, signals, signal, fleet, desk, door, control != nullptr);
+  Task heeding = heedSignals(options, signals, signal, fleet, desk, door, own);
   heeding.start();
   if (control) control->watch(scheduler);
   info() << config.name << ": listens on " << textOf(config.listen);
--- a/src/protocol/change_log.h
+++ b/src/protocol/change_log.h
@@ -23,8 +23,8 @@
 
 class FrameReader {
  public:
-  // The largest list that a frame may hold: far more engines than a gateway has descriptors for.
-  static constexpr size_t kMostFrame = 13 + 27 * 4096;
+  // The largest list that a frame may hold: half as many engines again as the largest installation planned for.
+  static constexpr size_t kMostFrame = 13 + 27 * 65536;
   enum class State { more, event, nothingNew, bad };
 
   FrameReader(std::vector<std::string> zones, std::vector<std::string> kinds)
--- a/src/serve/desk.cpp
+++ b/src/serve/desk.cpp
@@ -9,13 +9,13 @@
 namespace elmcleat {
 
 Desk::Desk(Scheduler& scheduler, const Settings& settings, uint64_t seed,
-           const std::optional<budget::Plan>& plan)
+           const std::optional<budget::Plan>& plan, const std::optional<Settings>& local)
     : scheduler_(scheduler),
       signal_(scheduler),
       mailbox_(signal_),
       wake_(scheduler, [this] { signal_.raise(); }),
       budgets_(plan ? std::make_unique<budget::Office>(*plan, settings.gateways) : nullptr),
-      gateway_(openGateway(settings, seed, *this, budgets_.get())) {
+      gateway_(openGateway(local.value_or(settings), seed, *this, budgets_.get())) {
   if (plan) actor_ = lower(plan->actor);
 }
 
--- a/src/serve/desk.h
+++ b/src/serve/desk.h
@@ -27,13 +27,15 @@
   // Its client has gone: what has not begun to go out never will. Needs no right to cancel.
   virtual void withdraw(uint32_t node, std::shared_ptr<Ticket> ticket) = 0;
   virtual void probe(uint32_t node) = 0;
+  virtual void rests(uint32_t node, bool is) = 0;  // the module has found it unfit, or fit again
 };
 
 class Desk final : public Outlet {
  public:
-  // With a plan, budgets stand over the module's turns; without one it decides alone.
+  // With a plan, budgets stand over the module's turns; without one it decides alone. `local`: what the module is told
+  // of its part of the fleet, where it sees a part alone; budgets are divided by all gateways in any case.
   Desk(Scheduler& scheduler, const Settings& settings, uint64_t seed,
-       const std::optional<budget::Plan>& plan = {});
+       const std::optional<budget::Plan>& plan = {}, const std::optional<Settings>& local = {});
   void start(Engines& engines);
 
   // From a front door. False: a command with this id is in hand.
@@ -72,6 +74,7 @@
   void followList() override {}  // the list is followed from the start
   void wake(double at) override { wake_.set(at); }
   void log(const std::string& line) override;
+  void rests(uint32_t node, bool is) override { engines_->rests(node, is); }
 
   Task run();
   void answer(Ticket& ticket, Answer answer);
--- a/src/serve/fleet.cpp
+++ b/src/serve/fleet.cpp
@@ -1,6 +1,7 @@
 #include "serve/fleet.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -20,7 +21,7 @@
 
 }  // namespace
 
-Fleet::Fleet(Scheduler& scheduler, const Config& config, Desk& desk)
+Fleet::Fleet(Scheduler& scheduler, const Config& config, Desk& desk, std::unique_ptr<view::View> view)
     : scheduler_(scheduler),
       config_(config),
       desk_(desk),
@@ -29,10 +30,13 @@
       timer_(scheduler, [this] { late_ = true, signal_.raise(); }),
       changeLog_(config.changeLog),
       reader_(config.links.zones, config.links.kinds),
+      view_(std::move(view)),
+      looks_(scheduler, [this] { look(); }),
       room_(std::max(config.sockets / 3, kLeastLinks)) {}
 
-void Fleet::start() {
-  for (auto& event : config_.known) apply(event);
+void Fleet::start(std::vector<ListEvent> known) {
+  for (auto& event : known) apply(std::move(event));
+  known = {};
   task_ = run();
   task_.start();
 }
@@ -100,19 +104,45 @@
       if (state == FrameReader::State::nothingNew || event.number <= last_) continue;
       if (event.number > last_ + 1 && last_ > 0)
         warn() << "change log: event " << event.number << " follows " << last_;
-      apply(event);
+      apply(std::move(event));
     }
   } while (stream.open() && stream.cutShort());
   return any;
 }
 
-void Fleet::apply(const ListEvent& event) {
+void Fleet::apply(ListEvent event) {
   last_ = event.number;
   if (!event.whole && event.rows.empty()) return;
+  if (!view_) {
+    std::vector<view::Change> all;
+    for (auto& listing : event.rows) all.push_back({std::move(listing)});
+    info() << "change log: event " << event.number << ", " << (event.whole ? "whole list" : "changes") << ", "
+           << all.size() << " engines named";
+    return use(std::move(all), event.whole);
+  }
+  heed(view_->apply(event, scheduler_.clock().unix(scheduler_.now())), event.whole ? "whole list" : "changes");
+}
+
+void Fleet::look() { heed(view_->tick(scheduler_.clock().unix(scheduler_.now())), "its own width"); }
+
+// What is out of view costs no line, actor, timer or row of the module.
+void Fleet::heed(std::vector<view::Change> changes, const char* why) {
+  if (double at = view_->wakes(); at < HUGE_VAL) looks_.set(scheduler_.clock().fromUnix(int64_t(at * 1e3) + 1));
+  else looks_.clear();
+  for (auto& line : view_->lines()) warn() << line;
+  if (changes.empty()) return;
+  auto figures = view_->figures();
+  info() << "view: " << changes.size() << " engines change by " << why << ", event " << last_ << ": " << figures.used
+         << " of " << figures.listed << " in use, reach " << figures.reach;
+  use(std::move(changes), false);
+}
+
+void Fleet::use(std::vector<view::Change> changes, bool whole) {
   std::set<uint32_t> named;
   std::vector<NodeRow> rows;
-  for (auto& listing : event.rows) {
+  for (auto& [listing, place] : changes) {
     NodeRow& row = rows.emplace_back(listing.row);
+    if (place >= 0) row.place = place;
     if (listing.bornMs > 0) row.startedAt = scheduler_.clock().fromUnix(listing.bornMs);
     named.insert(row.id);
     auto& engine = engines_[row.id];
@@ -122,14 +152,12 @@
     else engine->retire();
   }
   for (auto at = engines_.begin(); at != engines_.end();) {
-    if (event.whole && !named.contains(at->first)) at->second->retire();  // not in a whole list: gone
+    if (whole && !named.contains(at->first)) at->second->retire();  // not in a whole list: gone
     at = at->second->unused() ? engines_.erase(at) : std::next(at);
   }
   // Clients hold a third of all descriptors at most; as many are for engines, and the last third is to spare.
   linksEach_ = std::max<size_t>(1, config_.sockets / 3 / std::max<size_t>(1, engines_.size()));
-  info() << "change log: event " << event.number << ", " << (event.whole ? "whole list" : "changes") << ", "
-         << rows.size() << " engines named";
-  desk_.listed(event.whole ? ListKind::full : ListKind::changes, std::move(rows));
+  desk_.listed(whole ? ListKind::full : ListKind::changes, std::move(rows));
 }
 
 // --- from the desk
@@ -163,6 +191,14 @@
   tell(node, [ticket = std::move(ticket)](Engine& engine) { engine.shorten(ticket); });
 }
 
+void Fleet::rests(uint32_t node, bool is) {
+  if (!view_) return;
+  mailbox_.post([this, node, is] {
+    view_->rests(node, is);
+    look();
+  });
+}
+
 void Fleet::probe(uint32_t node) {
   tell(node, [](Engine& engine) { engine.probe(); });
 }
--- a/src/serve/fleet.h
+++ b/src/serve/fleet.h
@@ -9,13 +9,15 @@
 #include "runtime/stream.h"
 #include "serve/desk.h"
 #include "serve/engine.h"
+#include "view/view.h"
 
 namespace elmcleat {
 
 class Fleet final : public Engines {
  public:
-  Fleet(Scheduler& scheduler, const Config& config, Desk& desk);
-  void start();  // with what is known; then the change log is followed
+  // With a view, only the engines in it are used; without one all are.
+  Fleet(Scheduler& scheduler, const Config& config, Desk& desk, std::unique_ptr<view::View> view = nullptr);
+  void start(std::vector<ListEvent> known);  // then the change log is followed
   // Who can do without a descriptor when the system has none for the change log, or for an engine.
   void evictBy(std::function<bool()> evict) { room_.evict = std::move(evict); }
   void follow(const Address& changeLog);  // from the last number on, at once, if it is another one
@@ -26,11 +28,15 @@
   void withdraw(uint32_t node, std::shared_ptr<Ticket> ticket) override;
   void shorten(uint32_t node, std::shared_ptr<Ticket> ticket) override;
   void probe(uint32_t node) override;
+  void rests(uint32_t node, bool is) override;
 
  private:
   Task run();
   bool read(Stream& stream);
-  void apply(const ListEvent& event);
+  void apply(ListEvent event);
+  void look();                                                   // has the view to be wider, or narrower?
+  void use(std::vector<view::Change> changes, bool whole);       // what is not named in a whole list is gone
+  void heed(std::vector<view::Change> changes, const char* why);  // of the view
   void tell(uint32_t node, std::function<void(Engine&)> call);
 
   Scheduler& scheduler_;
@@ -43,6 +49,8 @@
   bool moved_ = false;  // the change log has another address since we last connected
   Address changeLog_;
   FrameReader reader_;
+  std::unique_ptr<view::View> view_;
+  Timer looks_;           // when the view may change by itself
   uint64_t last_ = 0;     // number of the last event that is known
   size_t linksEach_ = 1;  // connections that one engine should do with
   LinkRoom room_;         // of all engines' connections
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -76,10 +76,22 @@
   "shared: budgets name no guarantee and no ceiling in cores"; do
   expect "unsound sharing: $pattern" 1 "$pattern" "$program" check "$folder/shared.json"
 done
+echo '{"view": {"users": 0, "mostUser": 9, "usablePart": 1.5}}' >"$folder/view.json"
+for pattern in 'view.users: found 0; allowed is .*minimum' "view.mostUser: is no key here; the nearest known one is 'mostUsers'" \
+  'view.usablePart: found 1.5; allowed is .*maximum'; do
+  expect "an unsound view: $pattern" 1 "$pattern" "$program" check "$folder/view.json"
+done
+echo '{"view": {"users": 24, "mostUsers": 12}}' >"$folder/view.json"
+expect "a view that narrows where it should widen" 1 'view.mostUsers: ' "$program" check "$folder/view.json"
 echo '{"budgets": {"nodes": [{"name": "a", "guarantee": {"cores": NaN}}]}}' >"$folder/nan.json"
 expect "not a number" 1 'nan.json: is no JSON: .*NaN|nan.json: is no JSON' "$program" check "$folder/nan.json"
 echo '[]' >"$folder/list.json"
 expect "no object" 1 'list.json: the document: found \[\]; allowed is .*object' "$program" check "$folder/list.json"
+echo '{"listen": "127.0.0.1:1", "changelog": "127.0.0.1:2", "seed": "7", "limits": {"sockets": 64}, "known": {"seq": 1,
+  "results": [{"seq": 1, "fleet": {"whole": true, "hosts": [{"host": "s-00000001", "dial": "127.0.0.1:3"},
+  {"host": "s-00000002", "dial": "127.0.0.1"}, [1]]}}]}}' >"$folder/known.json"
+expect "an engine's address, by its place in the list" 1 'known.results\[0\].fleet.hosts\[1\].dial: must be an IPv4' \
+  env PROXY_CONFIG="$folder/known.json" "$program"
 echo '{"listen": "127.0.0.1:1"}' >"$folder/platform.json"
 expect "a platform's file" 1 'platform.json: changelog: is missing' "$program" check "$folder/platform.json"
 expect "two files at once" 1 'list.json: ' "$program" check "$folder/platform.json" "$folder/list.json"
--- a/tests/moments_test.cpp
+++ b/tests/moments_test.cpp
@@ -93,8 +93,9 @@
   auto client = stage.service.client();
   client->write(post(1));
   Line first = stage.engines.next();
-  client->write(std::string(200'000, 'x'));
+  client->write(std::string(200'000, 'x')), client->arrived();
   stage.service.kill(SIGSTOP);
+  client->write(std::string(60'000, 'x')), client->arrived();  // our end of it must stand in the program's own queue
   client->close();
   first.answer("SHED");
   stage.service.kill(SIGCONT);
--- a/tests/service.h
+++ b/tests/service.h
@@ -4,8 +4,10 @@
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/ioctl.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -86,6 +88,14 @@
   void write(const std::string& bytes) {
     CHECK_EQ(send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL), bytes.size());
   }
+  void arrived() {  // all that was written is in the other side's queue
+    int left = 1;
+    for (int waits = 0; left > 0 && waits < kWait; ++waits) {
+      REQUIRE_EQ(ioctl(fd_, SIOCOUTQ, &left), 0);
+      if (left > 0) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    REQUIRE_EQ(left, 0);
+  }
   bool more() {  // false at the end, or when nothing came in time
     char part[4096];
     ssize_t got = recv(fd_, part, sizeof part, 0);
