--- a/src/main.cpp
+++ b/src/main.cpp
@@ -84,8 +84,8 @@
   if (!own.view) return nullptr;
   if (own.members && int(own.members->peers.size()) != settings.gateways)
     throw view::Error(view::Wrong::countsDiffer,
-                      "settings.balancers is " + std::to_string(settings.gateways) + ", members.peers lists " +
-                          std::to_string(own.members->peers.size()),
+                      "settings.balancers is " + std::to_string(settings.gateways) +
+                          ", members.peers lists " + std::to_string(own.members->peers.size()),
                       "settings.balancers");
   return std::make_unique<view::View>(*own.view, settings);
 }
--- a/src/serve/fleet.cpp
+++ b/src/serve/fleet.cpp
@@ -120,20 +120,22 @@
            << all.size() << " engines named";
     return use(std::move(all), event.whole);
   }
-  heed(view_->apply(event, scheduler_.clock().unix(scheduler_.now())), event.whole ? "whole list" : "changes");
+  heed(view_->apply(event, scheduler_.clock().unix(scheduler_.now())),
+       event.whole ? "whole list" : "changes");
 }
 
 void Fleet::look() { heed(view_->tick(scheduler_.clock().unix(scheduler_.now())), "its own width"); }
 
 // What is out of view costs no line, actor, timer or row of the module.
 void Fleet::heed(std::vector<view::Change> changes, const char* why) {
-  if (double at = view_->wakes(); at < HUGE_VAL) looks_.set(scheduler_.clock().fromUnix(int64_t(at * 1e3) + 1));
+  if (double at = view_->wakes(); at < HUGE_VAL)
+    looks_.set(scheduler_.clock().fromUnix(int64_t(at * 1e3) + 1));
   else looks_.clear();
   for (auto& line : view_->lines()) warn() << line;
   if (changes.empty()) return;
   auto figures = view_->figures();
-  info() << "view: " << changes.size() << " engines change by " << why << ", event " << last_ << ": " << figures.used
-         << " of " << figures.listed << " in use, reach " << figures.reach;
+  info() << "view: " << changes.size() << " engines change by " << why << ", event " << last_ << ": "
+         << figures.used << " of " << figures.listed << " in use, reach " << figures.reach;
   use(std::move(changes), false);
 }
 
--- a/src/serve/fleet.h
+++ b/src/serve/fleet.h
@@ -34,8 +34,8 @@
   Task run();
   bool read(Stream& stream);
   void apply(ListEvent event);
-  void look();                                                   // has the view to be wider, or narrower?
-  void use(std::vector<view::Change> changes, bool whole);       // what is not named in a whole list is gone
+  void look();                                                    // has the view to be wider, or narrower?
+  void use(std::vector<view::Change> changes, bool whole);        // what is not named in a whole list is gone
   void heed(std::vector<view::Change> changes, const char* why);  // of the view
   void tell(uint32_t node, std::function<void(Engine&)> call);
 
--- a/tests/command_line.sh
+++ b/tests/command_line.sh
@@ -89,9 +89,12 @@
 expect "no object" 1 'list.json: the document: found \[\]; allowed is .*object' "$program" check "$folder/list.json"
 echo '{"listen": "127.0.0.1:1", "changelog": "127.0.0.1:2", "seed": "7", "limits": {"sockets": 64}, "known": {"seq": 1,
   "results": [{"seq": 1, "fleet": {"whole": true, "hosts": [{"host": "s-00000001", "dial": "127.0.0.1:3"},
-  {"host": "s-00000002", "dial": "127.0.0.1"}, [1]]}}]}}' >"$folder/known.json"
+  {"host": "s-00000002", "dial": "127.0.0.1"}]}}]}}' >"$folder/known.json"
 expect "an engine's address, by its place in the list" 1 'known.results\[0\].fleet.hosts\[1\].dial: must be an IPv4' \
   env PROXY_CONFIG="$folder/known.json" "$program"
+sed 's/{"host": "s-00000002", "dial": "127.0.0.1"}/[1]/' "$folder/known.json" >"$folder/known2.json"
+expect "a list's row that is no object" 1 'known.results\[0\].fleet.hosts\[1\]: must be an object' \
+  env PROXY_CONFIG="$folder/known2.json" "$program"
 echo '{"listen": "127.0.0.1:1"}' >"$folder/platform.json"
 expect "a platform's file" 1 'platform.json: changelog: is missing' "$program" check "$folder/platform.json"
 expect "two files at once" 1 'list.json: ' "$program" check "$folder/platform.json" "$folder/list.json"
