--- a/src/view/reach.cpp
+++ b/src/view/reach.cpp
@@ -19,7 +19,8 @@
       name_(std::move(name)),
       zones_(std::move(zones)),
       kinds_(std::move(kinds)),
-      reach_(base_) {}
+      reach_(base_),
+      keeps_(base_) {}
 
 bool Reach::serves(const std::string& zone, const std::string& kind) const {
   auto open = [](const std::vector<std::string>& names, const std::string& one) {
@@ -68,6 +69,7 @@
   }
   // A clock that was set back must not put it off for as long.
   if (narrowsAt_ != HUGE_VAL) narrowsAt_ = std::min(narrowsAt_, now + std::max(plan_.narrowAfter, kNarrowPeriod));
+  keeps_ = seen < need ? bound : reach_;
   usableInView_ = 0;
   for (int place = 0; place < std::min(reach_, known); ++place) usableInView_ += usable_[size_t(place)];
 }
--- a/src/view/reach.h
+++ b/src/view/reach.h
@@ -32,6 +32,8 @@
   int bound() const;  // over which the reach never goes
   int need() const;   // usable engines that have to be in view, if there are so many
   int now() const { return reach_; }
+  // While there is too little, engines in view that were found unfit are kept as far as this: they may be the next to do.
+  int keeps() const { return keeps_; }
   void settle(double now);
   double wakes() const { return narrowsAt_; }  // HUGE_VAL: not by itself
   bool served() const { return usableInView_ + coldInView_ > 0; }
@@ -43,7 +45,7 @@
   std::vector<std::string> zones_, kinds_;  // sorted
   std::vector<int> usable_;                 // by place, as far as any is known
   int listed_ = 0, coldInView_ = 0, usableInView_ = 0;
-  int reach_;
+  int reach_, keeps_;
   double narrowsAt_ = HUGE_VAL;
 };
 
--- a/src/view/view.cpp
+++ b/src/view/view.cpp
@@ -185,7 +185,7 @@
   if (entry.place < base_) return true;
   if (entry.state != NodeState::inService) return entry.inView;  // until it has gone
   return !entry.cold && std::ranges::any_of(makes_[entry.make].classes, [&](size_t which) {
-    return entry.place < reaches_[which].now();
+    return entry.place < (entry.inView && entry.rests ? reaches_[which].keeps() : reaches_[which].now());
   });
 }
 
@@ -198,9 +198,8 @@
   Change& change = changes.emplace_back(listingOf(entry), entry.place < base_ ? entry.place : -1);
   if (is) return;
   change.listing.row.state = NodeState::gone;
-  if (!entry.rests) return;
-  index(entry, false), entry.rests = false, index(entry, true);  // nobody looks at it any more
-  due_ = true;                                                   // another class may count on it
+  // Nobody looks at it any more. No class is short of engines as far out as that: none comes to count on it.
+  if (entry.rests) index(entry, false), entry.rests = false, index(entry, true);
 }
 
 void View::settle(double now, Changes& changes) {
@@ -214,9 +213,10 @@
     touched_.push_back(entry.id);
   }
   for (Reach& reach : reaches_) {
-    int before = reach.now();
+    int from = reach.now(), to = reach.keeps();
     reach.settle(now);
-    int from = std::min(before, reach.now()), to = std::max(before, reach.now());
+    if (from == reach.now() && to == reach.keeps()) continue;
+    from = std::min(from, reach.now()), to = std::max(to, reach.keeps());
     for (auto at = near_.lower_bound({from, 0}); at != near_.end() && at->first < to; ++at)
       touched_.push_back(at->second);
   }
