--- a/src/view/plan.cpp
+++ b/src/view/plan.cpp
@@ -10,13 +10,16 @@
 };
 constexpr std::array<Told, kWrongs> kTold = {{
     {"ordinal-missing",
-     "let the platform set settings.ordinal, another one in each dispatcher; or take the section view out of the "
+     "let the platform set settings.ordinal, another one in each dispatcher; or take the section view out of "
+     "the "
      "gateway file"},
-    {"ordinal-too-large", "correct settings.ordinal or settings.balancers: ordinals go from 0 to balancers - 1"},
+    {"ordinal-too-large",
+     "correct settings.ordinal or settings.balancers: ordinals go from 0 to balancers - 1"},
     {"counts-differ",
      "let settings.balancers and members.peers name the same dispatchers; until then the settings hold"},
     {"no-engine-in-view",
-     "look why the engines of this class rest or start; if there are few of them add some, or raise view.users"},
+     "look why the engines of this class rest or start; if there are few of them add some, or raise "
+     "view.users"},
 }};
 
 std::string number(double value) {  // without the zeros that std::to_string adds
--- a/src/view/reach.cpp
+++ b/src/view/reach.cpp
@@ -68,7 +68,8 @@
     narrowsAt_ = reach_ > wanted ? now + kNarrowPeriod : HUGE_VAL;
   }
   // A clock that was set back must not put it off for as long.
-  if (narrowsAt_ != HUGE_VAL) narrowsAt_ = std::min(narrowsAt_, now + std::max(plan_.narrowAfter, kNarrowPeriod));
+  if (narrowsAt_ != HUGE_VAL)
+    narrowsAt_ = std::min(narrowsAt_, now + std::max(plan_.narrowAfter, kNarrowPeriod));
   keeps_ = seen < need ? bound : reach_;
   usableInView_ = 0;
   for (int place = 0; place < std::min(reach_, known); ++place) usableInView_ += usable_[size_t(place)];
--- a/src/view/reach.h
+++ b/src/view/reach.h
@@ -24,9 +24,9 @@
     return zones_ == zones && kinds_ == kinds;
   }
 
-  void list(int by) { listed_ += by; }             // engines in service come (1) or go (-1), wherever they are;
-  void count(int place, int by);                   // those that are usable, by place;
-  void countCold(int by) { coldInView_ += by; }    // those that are cold and in the base view
+  void list(int by) { listed_ += by; }           // engines in service come (1) or go (-1), wherever they are;
+  void count(int place, int by);                 // those that are usable, by place;
+  void countCold(int by) { coldInView_ += by; }  // those that are cold and in the base view
   int listed() const { return listed_; }
 
   int bound() const;  // over which the reach never goes
--- a/src/view/view.cpp
+++ b/src/view/view.cpp
@@ -143,7 +143,8 @@
     if (event.whole)
       for (; at != table_.end() && at->id < row->row.id; ++at) drop(*at);
     else
-      at = std::lower_bound(at, table_.end(), row->row.id, [](auto& entry, auto id) { return entry.id < id; });
+      at =
+          std::lower_bound(at, table_.end(), row->row.id, [](auto& entry, auto id) { return entry.id < id; });
     bool known = at != table_.end() && at->id == row->row.id, stays = row->row.state != NodeState::gone;
     if (known && stays) update(*at, *row, now);
     if (known && !stays) drop(*at);
--- a/src/view/view.h
+++ b/src/view/view.h
@@ -33,7 +33,7 @@
 struct Figures {
   size_t listed = 0, used = 0;  // engines in service; in view
   int reach = 0;                // the greatest place, and one, with which an engine is in view
-  uint64_t ranked = 0;          // orders worked out since the start: grows with what changes, not with the list
+  uint64_t ranked = 0;  // orders worked out since the start: grows with what changes, not with the list
 };
 
 class View {
@@ -86,9 +86,9 @@
 
   void update(Entry& entry, const Listing& listing, double now);
   void remove(Entry& entry, Changes& changes);
-  void list(const Entry& entry, int by);   // count it among those in service, or no longer
-  void index(Entry& entry, bool is);       // what is kept by place
-  void rank(Entry& entry);                 // as far as its make's cap asks for
+  void list(const Entry& entry, int by);  // count it among those in service, or no longer
+  void index(Entry& entry, bool is);      // what is kept by place
+  void rank(Entry& entry);                // as far as its make's cap asks for
   void raiseCaps();
   bool belongs(const Entry& entry) const;  // in view
   void tell(Entry& entry, Changes& changes);
--- /dev/null
+++ b/tests/view_cases_test.cpp
@@ -0,0 +1,181 @@
+// The view by example: a dispatcher more, trouble and its end, what it costs, what it says.
+#include <doctest/doctest.h>
+
+#include <functional>
+
+#include "view_scene.h"
+
+using namespace scene;
+
+TEST_CASE("steady: a dispatcher more takes its part from all views, and gives nothing to any") {
+  constexpr int kDispatchers = 100, kUsers = 12, kEngines = 1000;
+  auto rows = enginesOf(kEngines);
+  int lost = 0, most = 0, gained = 0;
+  for (int i = 0; i < kDispatchers; ++i) {
+    Dispatcher before(planOf(kUsers, 24, 4), kDispatchers, i),
+        after(planOf(kUsers, 24, 4), kDispatchers + 1, i);
+    before.whole(rows), after.whole(rows);
+    int here = 0;
+    for (auto& [id, told] : before.engines) here += !after.engines.contains(id);
+    for (auto& [id, told] : after.engines) gained += told.place >= 0 && !before.engines.contains(id);
+    lost += here, most = std::max(most, here);
+  }
+  double part =
+      double(kEngines) * kUsers / (kDispatchers + 1);  // of the new one: 119, each a view's one entry
+  CHECK_EQ(gained, 0);
+  CHECK_LT(std::abs(lost - part), 5 * std::sqrt(part));
+  CHECK_LE(most, 8);  // 1.2 in the mean
+}
+
+TEST_CASE(
+    "half of the view unfit: it widens at once, by the same order, and narrows late, in steps, never below "
+    "need") {
+  constexpr int kDispatchers = 100, kUsers = 10, kEngines = 2000;
+  Plan plan{kUsers, 50, 4, 0.5, 30};
+  Dispatcher one(plan, kDispatchers, 7);
+  Model model{plan, kDispatchers, 7};
+  for (auto& row : enginesOf(kEngines)) model.list[row.row.id] = row;
+  one.whole(enginesOf(kEngines));
+  size_t before = one.engines.size();
+  CHECK_EQ(one.view.figures().reach, kUsers);
+  for (auto& [id, told] : one.engines)
+    if (id % 3) one.view.rests(id, true), model.unfit.insert(id);
+  CHECK_EQ(one.view.wakes(), kBegin);
+  one.take(one.view.tick(kBegin));
+  CHECK_EQ(model.broken(one, kBegin, true), "");
+  CHECK_GT(one.engines.size(), before);
+  size_t wide = one.engines.size();
+  for (uint32_t id : model.unfit) one.view.rests(id, false);
+  model.unfit.clear();
+  one.until(kBegin + 29, [&](double) { CHECK_EQ(one.engines.size(), wide); });
+  int reach = one.view.figures().reach;
+  one.until(kBegin + 60, [&](double now) {
+    CHECK_EQ(model.broken(one, now), "");
+    CHECK_GE(one.view.figures().reach, reach - std::max(1, (reach - kUsers + 7) / 8));
+    reach = one.view.figures().reach;
+  });
+  CHECK_EQ(one.engines.size(), before);
+  CHECK_EQ(one.view.wakes(), HUGE_VAL);
+}
+
+TEST_CASE("a class that loses its zone finds what is left of it, far beyond the usual bound; others stay") {
+  constexpr int kDispatchers = 200;
+  Plan plan{10, 20, 6, 0.5, 30};
+  Dispatcher one(plan, kDispatchers, 3);
+  one.whole(enginesOf(1600));  // 400 east
+  size_t others =
+      std::ranges::count_if(one.engines, [](auto& told) { return told.second.listing.row.zone == "w"; });
+  CHECK_EQ(one.view.figures().ranked, 1600);
+  std::vector<Listing> lost;
+  for (uint32_t id = 4; id <= 1600 - 20; id += 4)
+    lost.push_back(engineOf(id, true, false)), lost.back().row.state = kGone;
+  one.changes(lost);  // five are left
+  auto east = [](auto& told) { return told.second.listing.row.zone == "e"; };
+  CHECK_EQ(std::ranges::count_if(one.engines, east), 5);
+  CHECK_EQ(std::ranges::count_if(one.engines, std::not_fn(east)), others);
+  CHECK_LE(one.view.figures().ranked, 1600 + 5);
+  for (auto& row : lost) row.row.state = kIn, row.bornMs = int64_t(kBegin * 1000);
+  one.changes(lost);  // and back, cold: by the first alone, until they are warm
+  for (auto& [id, told] : one.engines) CHECK((told.listing.bornMs == 0 || told.place >= 0));
+  CHECK_LE(one.view.wakes(), kBegin + kColdTime);
+  one.until(kBegin + 100, [](double) {});
+  CHECK_EQ(one.view.figures().reach, 10);
+}
+
+TEST_CASE("all cold: the first use them, nobody widens, and one line tells who has none") {
+  Plan plan{4, 16, 4, 0.5, 30};
+  std::vector<Listing> rows;
+  for (uint32_t id = 1; id <= 10; ++id) rows.push_back(engineOf(id, true, false, int64_t(kBegin * 1000)));
+  int users = 0, none = 0;
+  for (int i = 0; i < 100; ++i) {
+    Dispatcher one(plan, 100, i);
+    one.whole(rows);
+    users += int(one.engines.size());
+    auto lines = one.view.lines();
+    CHECK_EQ(lines.size(), one.engines.empty() ? 2 : 0);  // any, east; no engine is large
+    CHECK(one.view.lines().empty());
+    if (!one.engines.empty()) continue;
+    ++none;
+    CHECK_EQ(lines[1].find(
+                 "view: no-engine-in-view: class east: none of its 10 engines can be used: 0 in view rest"),
+             0);
+    one.until(kBegin + kColdTime, [](double) {});
+    CHECK_GE(one.engines.size(), 4);
+    CHECK(one.view.lines().empty());
+    for (int round = 0; round < 3; ++round) {  // four, eight, all ten of them
+      CHECK(one.view.lines().empty());
+      for (auto& [id, told] : one.engines) one.view.rests(id, true);
+      one.until(kBegin + kColdTime, [](double) {});
+    }
+    CHECK_EQ(one.engines.size(), 10);
+    CHECK_EQ(one.view.lines().size(), 2);  // again, as it could be served in between
+  }
+  CHECK_EQ(users, 40);
+  CHECK_GT(none, 50);
+}
+
+TEST_CASE("work grows with what changes, not with the list") {
+  for (uint32_t engines : {1000u, 4000u}) {
+    Dispatcher one(planOf(8, 32, 8), 400, 5);
+    auto rows = enginesOf(engines);
+    one.whole(rows);
+    CHECK_EQ(one.view.figures().ranked, engines);
+    CHECK_EQ(one.view.figures().listed, engines);
+    uint64_t told = one.told;
+    one.whole(rows), one.changes({}), one.take(one.view.tick(kBegin + 1));
+    for (auto& row : rows) row.row.cell = row.row.id % 2 ? 0 : 1;
+    one.whole(rows);
+    CHECK_EQ(one.view.figures().ranked, engines);  // changed rows keep their places
+    CHECK_EQ(one.told - told, std::ranges::count_if(one.engines, [](auto& e) { return e.first % 2 == 0; }));
+    told = one.told;
+    std::vector<Listing> more;
+    for (uint32_t id = 100001; id <= 100010; ++id) more.push_back(engineOf(id, false, false));
+    one.changes(more);
+    CHECK_EQ(one.view.figures().ranked, engines + 10);
+    CHECK_LE(one.told - told, 10);
+    one.whole({});
+    CHECK(one.engines.empty());
+    CHECK_EQ(one.view.figures().listed, 0);
+  }
+}
+
+TEST_CASE("what the module is told in place of the settings") {
+  Settings few = View(planOf(8, 16, 4), settingsOf(200, 3)).local(),
+           all = View(planOf(8, 16, 4), settingsOf(5, 3)).local();
+  CHECK_EQ(few.gateways, 8);
+  CHECK_EQ(few.ordinal, -1);
+  CHECK_EQ(few.tenants[0].quota, doctest::Approx(100.0 * 8 / 200));
+  CHECK_EQ(all.gateways, 5);
+  CHECK_EQ(all.tenants[0].quota, 100);
+}
+
+TEST_CASE("what is wrong is told by its key, what was found and what is allowed") {
+  auto said = [](int dispatchers, int ordinal) -> std::string {
+    try {
+      View(Plan{}, settingsOf(dispatchers, ordinal));
+    } catch (const Error& error) {
+      CHECK_EQ(error.subject, "settings.ordinal");
+      CHECK_EQ(error.wrong, ordinal < 0 ? Wrong::ordinalMissing : Wrong::ordinalTooLarge);
+      return error.what();
+    }
+    return "";
+  };
+  CHECK_EQ(said(3, -1).find("view: ordinal-missing: settings.ordinal: found none; allowed is 0 to 2; let"),
+           0);
+  CHECK_EQ(said(3, 3).find(
+               "view: ordinal-too-large: settings.ordinal: found 3 with settings.balancers 3; allowed is "
+               "0 to 2; correct"),
+           0);
+  CHECK_EQ(said(3, 2), "");
+  CHECK(flawsOf(Plan{}).empty());
+  std::string flaws;
+  for (auto& flaw : flawsOf({0, -1, 0, 1.5, 0})) flaws += flaw.key + ": " + flaw.why + "\n";
+  CHECK_EQ(flaws,
+           "users: found 0; allowed is 1 or more\nmostUsers: found -1; allowed is users or more, which is 0\n"
+           "least: found 0; allowed is 1 or more\nusablePart: found 1.5; allowed is 0 to 1\n"
+           "narrowAfterS: found 0; allowed is more than 0\n");
+  std::set<std::string> names;
+  for (size_t i = 0; i < kWrongs; ++i) names.insert(nameOf(Wrong(i)));
+  CHECK(names ==
+        std::set<std::string>{"counts-differ", "no-engine-in-view", "ordinal-missing", "ordinal-too-large"});
+}
--- /dev/null
+++ b/tests/view_scene.h
@@ -0,0 +1,176 @@
+// What the tests of the view share: a fleet's settings and engines, a dispatcher that keeps what its view tells, and a
+// model of what it should have told, worked out anew by sorting all dispatchers before each engine.
+#pragma once
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <set>
+#include <stdexcept>
+
+#include "view/rank.h"
+#include "view/view.h"
+
+namespace scene {
+
+using namespace elmcleat;
+using namespace elmcleat::view;
+
+constexpr double kBegin = 1e9, kColdTime = 10;
+constexpr NodeState kIn = NodeState::inService, kDraining = NodeState::draining, kGone = NodeState::gone;
+
+inline Settings settingsOf(int dispatchers, int ordinal) {
+  Settings set;
+  set.gateways = dispatchers, set.ordinal = ordinal, set.coldTime = kColdTime;
+  set.profiles.resize(4);
+  set.profiles[0].name = "any", set.profiles[1].name = "east", set.profiles[2].name = "large";
+  set.profiles[1].zonesOpen = {"e"}, set.profiles[2].kindsOpen = {"xl", "xxl"};
+  set.profiles[3] = set.profiles[2], set.profiles[3].name = "large too";
+  set.tenants = {{"north", 1, 100}};
+  return set;
+}
+constexpr int kClasses = 3;  // the fourth profile is of the third's
+inline bool serves(int which, const Listing& engine) {
+  return which == 0 || (which == 1 ? engine.row.zone == "e" : engine.row.kind == "xl");
+}
+
+inline Listing engineOf(uint32_t id, bool east, bool large, int64_t bornMs = 0) {
+  Listing one;
+  one.row.id = id, one.row.zone = east ? "e" : "w", one.row.kind = large ? "xl" : "std";
+  one.address = {0x0a000000 + id, 4200}, one.bornMs = bornMs;
+  return one;
+}
+inline std::vector<Listing> enginesOf(uint32_t count) {  // a quarter east, an eighth large
+  std::vector<Listing> rows;
+  for (uint32_t id = 1; id <= count; ++id) rows.push_back(engineOf(id, id % 4 == 0, id % 8 == 1));
+  return rows;
+}
+
+inline int placeBySorting(uint32_t id, int ordinal, int dispatchers) {
+  std::vector<std::pair<uint64_t, int>> order;
+  for (int i = 0; i < dispatchers; ++i) order.push_back({~weightOf(id, uint32_t(i)), i});
+  std::ranges::sort(order);
+  return int(std::ranges::find(order, ordinal, &std::pair<uint64_t, int>::second) - order.begin());
+}
+
+struct Dispatcher {
+  View view;
+  std::map<uint32_t, Change> engines = {};  // in view, as told
+  uint64_t told = 0;
+  Dispatcher(const Plan& plan, int dispatchers, int ordinal) : view(plan, settingsOf(dispatchers, ordinal)) {}
+
+  void take(const std::vector<Change>& changes) {
+    told += changes.size();
+    for (auto& change : changes) {
+      uint32_t id = change.listing.row.id;
+      if (change.listing.row.state != kGone) engines.insert_or_assign(id, change);
+      else if (engines.erase(id) == 0) throw std::logic_error("told as gone, and never told before");
+    }
+  }
+  void whole(const std::vector<Listing>& rows, double now = kBegin) {
+    take(view.apply({1, true, rows}, now));
+  }
+  void changes(const std::vector<Listing>& rows, double now = kBegin) {
+    take(view.apply({1, false, rows}, now));
+  }
+  // All that comes by itself until then; `after` looks at each step.
+  template <class After>
+  void until(double end, After&& after) {
+    for (int steps = 0; view.wakes() <= end; ++steps) {
+      if (steps > 2000) throw std::logic_error("wakes without an end");
+      double now = view.wakes();
+      take(view.tick(now)), after(now);
+    }
+    take(view.tick(end)), after(end);
+  }
+  std::set<uint32_t> inService() const {
+    std::set<uint32_t> ids;
+    for (auto& [id, change] : engines)
+      if (change.listing.row.state == kIn) ids.insert(id);
+    return ids;
+  }
+};
+
+// What one dispatcher has been told and found, and what must be true then.
+struct Model {
+  Plan plan;
+  int dispatchers, ordinal;
+  std::map<uint32_t, Listing> list = {};
+  std::set<uint32_t> unfit = {};
+  std::map<uint32_t, int> places = {};
+
+  int base() const { return std::min(plan.users, dispatchers); }
+  int placeOf(uint32_t id) {
+    auto [at, fresh] = places.try_emplace(id, 0);
+    if (fresh) at->second = placeBySorting(id, ordinal, dispatchers);
+    return at->second;
+  }
+  static bool cold(const Listing& one, double now) {
+    return one.bornMs > 0 && now < double(one.bornMs) / 1000 + kColdTime;
+  }
+  int countOf(int which) const {
+    return int(std::ranges::count_if(
+        list, [&](auto& one) { return one.second.row.state == kIn && serves(which, one.second); }));
+  }
+  int boundOf(int which) const {
+    int count = countOf(which), wide = 1;
+    while (count > 0 && wide * count < 2 * dispatchers * plan.least) wide *= 2;
+    return std::min(dispatchers, std::max(plan.mostUsers, wide));
+  }
+  int needOf(int which) const {
+    double part = plan.usablePart * countOf(which) * base() / dispatchers;
+    return std::max(std::min(plan.least, countOf(which)), int(std::ceil(part - 1e-9)));
+  }
+  int usableBefore(int which, int place, double now) {
+    int usable = 0;
+    for (auto& [id, one] : list)
+      usable += one.row.state == kIn && serves(which, one) && !cold(one, now) && !unfit.contains(id) &&
+                placeOf(id) < place;
+    return usable;
+  }
+  // `fresh`: nothing was wide before, so nothing is in view that isn't needed.
+  std::string broken(const Dispatcher& is, double now, bool fresh = false) {
+    for (auto& [id, one] : list) {
+      bool in = is.engines.contains(id), draining = one.row.state == kDraining;
+      int place = placeOf(id);
+      auto at = " engine " + std::to_string(id) + " at place " + std::to_string(place);
+      if (place < base() && !in) return "missing:" + at;
+      if (!in) continue;
+      auto& told = is.engines.at(id);
+      if (told.place != (place < base() ? place : -1)) return "told with another place:" + at;
+      if (told.listing.address != one.address || told.listing.bornMs != one.bornMs ||
+          told.listing.row.zone != one.row.zone || told.listing.row.state != one.row.state)
+        return "told otherwise than listed:" + at;
+      if (place < base() || draining) continue;
+      if (cold(one, now)) return "cold and out of the first:" + at;
+      bool allowed = false, inOrder = false, needed = false;
+      for (int which = 0; which < kClasses; ++which) {
+        if (!serves(which, one)) continue;
+        allowed |= place < boundOf(which), needed |= usableBefore(which, place, now) < needOf(which);
+        inOrder |= std::ranges::all_of(list, [&](auto& other) {
+          return !serves(which, other.second) || other.second.row.state != kIn || cold(other.second, now) ||
+                 placeOf(other.first) > place || is.engines.contains(other.first);
+        });
+      }
+      if (!allowed) return "over the bound:" + at;
+      if (!inOrder) return "nearer ones left out:" + at;
+      if (fresh && !needed) return "not needed:" + at;
+    }
+    for (auto& [id, told] : is.engines)
+      if (!list.contains(id)) return "not listed: " + std::to_string(id);
+    for (int which = 0; which < kClasses; ++which) {
+      int usable = 0;
+      for (auto& [id, told] : is.engines)
+        usable += told.listing.row.state == kIn && serves(which, told.listing) && !cold(list.at(id), now) &&
+                  !unfit.contains(id);
+      if (usable < std::min(needOf(which), usableBefore(which, boundOf(which), now)))
+        return "too few of class " + std::to_string(which);
+    }
+    return is.view.figures().used == is.inService().size() ? "" : "used: counted otherwise";
+  }
+};
+
+inline Plan planOf(int users, int mostUsers, int least, double usablePart = 0.5) {
+  return {users, mostUsers, least, usablePart, 5};
+}
+
+}  // namespace scene
