--- a/bench/engines_bench.cpp
+++ b/bench/engines_bench.cpp
@@ -5,10 +5,12 @@
 #include <cstdio>
 #include <fstream>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
 #include "policy.h"
+#include "view/view.h"
 
 using namespace elmcleat;
 
@@ -38,60 +40,84 @@
   return resident * 4;
 }
 
+struct Cost {
+  double sweep, command;  // us
+  long memory, inUse;
+};
+
+// `plan`: a view of the list, of 2,400 dispatchers; none: the whole list.
+Cost costOf(uint32_t engines, const view::Plan* plan) {
+  Settings set;
+  Profile quick;
+  quick.name = "quick", quick.target = 1, quick.targetStretch = 2, quick.clientTimeout = 5, quick.benefit = 1;
+  set.profiles = {quick, quick, quick};
+  set.profiles[1].name = "dear", set.profiles[2].name = "load";
+  set.tenants = {{"north", 1, 0}};
+  set.kinds = {{"eight", 8, 16000}};
+  set.gateways = 2400, set.ordinal = 7, set.maxSends = 3, set.coldFrom = 0.4, set.coldTime = 10;
+  set.fallMultiple = 2, set.fallTime = 1, set.probing = true;
+  long before = residentKb();
+  ListEvent whole{1, true, std::vector<Listing>(engines)};
+  for (uint32_t i = 0; i < engines; ++i) {
+    whole.rows[i].row = {i + 1, "a", "eight", 0, NodeState::inService, {}};
+    whole.rows[i].address = {0x0a000001 + i, 4100};
+  }
+  std::optional<view::View> seen;
+  if (plan) seen.emplace(*plan, set);
+  std::vector<NodeRow> rows;
+  if (seen)
+    for (auto& [listing, place] : seen->apply(whole, 0))
+      rows.push_back(listing.row), rows.back().place = place;
+  else
+    for (auto& listing : whole.rows) rows.push_back(listing.row);
+  Sink sink;
+  auto gateway = openGateway(seen ? seen->local() : set, 7, sink);
+  double now = 0;
+  gateway->at(now);
+  gateway->list(ListKind::full, rows), gateway->settle();
+  uint64_t number = 0;
+  auto command = [&] {  // seven a second, each answered 20 ms later
+    gateway->at(now += 0.12);
+    auto taken = gateway->take({"quick", "north", ++number % 97, {}, 0.02, 10, 5, {}});
+    gateway->settle();
+    gateway->at(now += 0.02);
+    Bill bill{0.02, 10};
+    for (Command* out : std::exchange(sink.sent, {}))
+      out->outcome(Outcome::answered, 0.02, true, &bill, nullptr);
+    gateway->settle();
+  };
+  int times = rows.size() > 2000 ? 200 : 2000;
+  for (int i = 0; i < 200; ++i) command();
+  long after = residentKb();
+  std::vector<double> sweeps, commands;
+  for (int i = 0; i < times / 4; ++i) {
+    double began = seconds();
+    gateway->at(now += 0.05), gateway->settle();
+    sweeps.push_back((seconds() - began) * 1e6);
+  }
+  for (int i = 0; i < times; ++i) {  // two settles with a sweep each belong to it: taken off below
+    double began = seconds();
+    command();
+    commands.push_back((seconds() - began) * 1e6);
+  }
+  std::ranges::sort(sweeps), std::ranges::sort(commands);
+  double sweep = sweeps[sweeps.size() / 2], each = commands[commands.size() / 2];
+  return {sweep, std::max(each - sweep, 0.0), after - before, long(rows.size())};
+}
+
 }  // namespace
 
 int main() {
   std::printf(
-      "| engines | sweep, us | part of a core at 20 sweeps a second | command, us | memory, KB |\n"
-      "| --- | --- | --- | --- | --- |\n");
-  for (int engines : {10, 80, 350, 1024}) {
-    Settings set;
-    Profile quick;
-    quick.name = "quick", quick.target = 1, quick.targetStretch = 2, quick.clientTimeout = 5,
-    quick.benefit = 1;
-    set.profiles = {quick, quick, quick};
-    set.profiles[1].name = "dear", set.profiles[2].name = "load";
-    set.tenants = {{"north", 1, 0}};
-    set.kinds = {{"eight", 8, 16000}};
-    set.gateways = 300, set.ordinal = 7, set.maxSends = 3, set.coldFrom = 0.4, set.coldTime = 10;
-    set.fallMultiple = 2, set.fallTime = 1, set.probing = true;
-    long before = residentKb();
-    Sink sink;
-    auto gateway = openGateway(set, 7, sink);
-    double now = 0;
-    gateway->at(now);
-    std::vector<NodeRow> rows;
-    for (uint32_t i = 1; i <= uint32_t(engines); ++i)
-      rows.push_back({i, "a", "eight", 0, NodeState::inService, {}});
-    gateway->list(ListKind::full, rows), gateway->settle();
-    uint64_t number = 0;
-    auto command = [&] {  // seven a second, each answered 20 ms later
-      gateway->at(now += 0.12);
-      auto taken = gateway->take({"quick", "north", ++number % 97, {}, 0.02, 10, 5, {}});
-      gateway->settle();
-      gateway->at(now += 0.02);
-      Bill bill{0.02, 10};
-      for (Command* out : std::exchange(sink.sent, {}))
-        out->outcome(Outcome::answered, 0.02, true, &bill, nullptr);
-      gateway->settle();
-    };
-    for (int i = 0; i < 200; ++i) command();
-    long after = residentKb();
-    std::vector<double> sweeps, commands;
-    for (int i = 0; i < 400; ++i) {
-      double began = seconds();
-      gateway->at(now += 0.05), gateway->settle();
-      sweeps.push_back((seconds() - began) * 1e6);
+      "| engines listed | in use | sweep, us | part of a core at 20 sweeps a second | command, us | memory, "
+      "KB |\n"
+      "| --- | --- | --- | --- | --- | --- |\n");
+  view::Plan plan;
+  for (uint32_t engines : {10, 80, 344, 350, 1024, 4096, 16384, 44000})
+    for (const view::Plan* which : {static_cast<const view::Plan*>(nullptr), &std::as_const(plan)}) {
+      Cost cost = costOf(engines, which);
+      std::printf("| %u%s | %ld | %.1f | %.4f | %.1f | %ld |\n", engines, which ? ", view" : "", cost.inUse,
+                  cost.sweep, cost.sweep * 20e-6, cost.command, cost.memory);
     }
-    for (int i = 0; i < 2000; ++i) {  // two settles with a sweep each belong to it: taken off below
-      double began = seconds();
-      command();
-      commands.push_back((seconds() - began) * 1e6);
-    }
-    std::ranges::sort(sweeps), std::ranges::sort(commands);
-    double sweep = sweeps[sweeps.size() / 2], each = commands[commands.size() / 2];
-    std::printf("| %d | %.1f | %.4f | %.1f | %ld |\n", engines, sweep, sweep * 20e-6,
-                std::max(each - sweep, 0.0), after - before);
-  }
   return 0;
 }
