--- /dev/null
+++ b/bench/view_bench.cpp
@@ -0,0 +1,343 @@
+// Which engines a dispatcher uses: four ways compared, the load of engines by the number of their users, and what the view
+// costs at the target. Prints Markdown tables; takes half a minute or so.
+//   rendezvous  an engine is used by the first k of all dispatchers in an order of its own (src/view)
+//   rounds      the list is shuffled by round; the N / k dispatchers of a round take slices that don't overlap
+//   ring        dispatchers stand on a ring, 64 points each; an engine is used by the next k from its own point on
+//   random      each dispatcher draws E k / N engines of the list by its own seed
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <numeric>
+#include <random>
+#include <vector>
+
+#include "view/rank.h"
+#include "view/view.h"
+
+using namespace elmcleat;
+using namespace elmcleat::view;
+
+namespace {
+
+using Ids = std::vector<uint32_t>;  // of engines, as a list has them
+
+double seconds() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+double medianOf(int times, const std::function<void()>& work) {
+  std::vector<double> took;
+  for (int i = 0; i < times; ++i) {
+    double began = seconds();
+    work(), took.push_back(seconds() - began);
+  }
+  std::ranges::nth_element(took, took.begin() + times / 2);
+  return took[size_t(times / 2)];
+}
+Ids idsOf(uint32_t engines) {
+  Ids ids(engines);
+  std::iota(ids.begin(), ids.end(), 1000);
+  return ids;
+}
+
+// A way tells the engines of one dispatcher, as indexes into the list that it has.
+struct Way {
+  const char* name;
+  std::function<std::vector<uint32_t>(const Ids& list, int ordinal, int dispatchers, int users)> view;
+};
+
+std::vector<uint32_t> rendezvous(const Ids& list, int ordinal, int dispatchers, int users) {
+  std::vector<uint32_t> mine;
+  for (uint32_t e = 0; e < list.size(); ++e)
+    if (placeOf(list[e], ordinal, dispatchers, users) < users) mine.push_back(e);
+  return mine;
+}
+
+std::vector<uint32_t> shuffled(size_t engines, uint64_t seed,
+                               size_t first) {  // the first so many are in their place
+  std::vector<uint32_t> all(engines);
+  std::iota(all.begin(), all.end(), 0);
+  std::mt19937_64 chance(seed * 0x9e3779b97f4a7c15 + 1);
+  for (size_t i = 0; i < first; ++i) std::swap(all[i], all[i + chance() % (engines - i)]);
+  return all;
+}
+std::vector<uint32_t> rounds(const Ids& list, int ordinal, int dispatchers, int users) {
+  size_t slices = size_t(std::max(1, dispatchers / users)), slice = size_t(ordinal) % slices,
+         size = list.size();
+  auto all = shuffled(size, size_t(ordinal) / slices, size);
+  return {all.begin() + ptrdiff_t(slice * size / slices),
+          all.begin() + ptrdiff_t((slice + 1) * size / slices)};
+}
+std::vector<uint32_t> randomly(const Ids& list, int ordinal, int dispatchers, int users) {
+  size_t part = list.size() * size_t(users) / size_t(dispatchers);
+  auto all = shuffled(list.size(), uint64_t(ordinal) + 77, part);
+  all.resize(part);
+  return all;
+}
+
+struct Ring {  // its points, and each engine's users
+  explicit Ring(int dispatchers) {
+    for (int d = 0; d < dispatchers; ++d)
+      for (uint32_t point = 0; point < 64; ++point) points.push_back({weightOf(~point, uint32_t(d)), d});
+    std::ranges::sort(points);
+  }
+  template <class Visit>  // until it says that it is enough
+  void next(uint32_t engine, int users, std::vector<int>& seen, Visit&& visit) const {
+    auto at = std::ranges::lower_bound(points, std::pair{weightOf(engine, 0xffffff), 0});
+    seen.clear();
+    while (int(seen.size()) < users) {
+      if (at == points.end()) at = points.begin();
+      if (std::ranges::find(seen, at->second) == seen.end()) {
+        seen.push_back(at->second);
+        if (visit(at->second)) return;
+      }
+      ++at;
+    }
+  }
+  std::vector<std::pair<uint64_t, int>> points;
+};
+std::vector<uint32_t> ring(const Ids& list, int ordinal, int dispatchers, int users) {
+  Ring ring(dispatchers);
+  std::vector<uint32_t> mine;
+  std::vector<int> seen;
+  for (uint32_t e = 0; e < list.size(); ++e)
+    ring.next(list[e], users, seen, [&](int d) { return d == ordinal && (mine.push_back(e), true); });
+  return mine;
+}
+
+// All views at once, by id of engine: which dispatchers use it, in ascending order. What goes by engine is worked out by
+// engine, as one view after the other would take minutes.
+using Users = std::vector<std::vector<uint16_t>>;
+Users usersOf(const Way& way, const Ids& list, int dispatchers, int users, const Ids* older = nullptr) {
+  Users all(list.size());
+  bool byRing = std::string(way.name) == "ring";
+  if (byRing || std::string(way.name) == "rendezvous") {
+    Ring ring(byRing ? dispatchers : 0);
+    std::vector<int> seen;
+    std::vector<std::pair<uint64_t, uint16_t>> order(static_cast<size_t>(dispatchers));
+    for (size_t e = 0; e < list.size(); ++e) {
+      if (byRing) {
+        ring.next(list[e], users, seen, [&](int d) { return all[e].push_back(uint16_t(d)), false; });
+      } else {
+        for (int d = 0; d < dispatchers; ++d)
+          order[size_t(d)] = {~weightOf(list[e], uint32_t(d)), uint16_t(d)};
+        std::ranges::nth_element(order, order.begin() + users);
+        for (int i = 0; i < users; ++i) all[e].push_back(order[size_t(i)].second);
+      }
+      if (older && e >= older->size())
+        std::erase_if(all[e], [](auto d) { return d % 2; });  // they don't list it
+      std::ranges::sort(all[e]);
+    }
+  } else {
+    for (int d = 0; d < dispatchers; ++d)
+      for (uint32_t e : way.view(older && d % 2 ? *older : list, d, dispatchers, users))
+        all[e].push_back(uint16_t(d));
+  }
+  return all;
+}
+size_t moved(const Users& from, const Users& to) {
+  size_t count = 0;
+  std::vector<uint16_t> differ;
+  for (size_t e = 0; e < to.size(); ++e) {
+    differ.clear();
+    static const std::vector<uint16_t> none;
+    std::ranges::set_symmetric_difference(e < from.size() ? from[e] : none, to[e],
+                                          std::back_inserter(differ));
+    count += differ.size();
+  }
+  return count;
+}
+
+void compare(const std::vector<Way>& ways, int dispatchers, uint32_t engines) {
+  Ids list = idsOf(engines), more = idsOf(engines + 1), older = idsOf(engines - engines / 100);
+  std::printf(
+      "\n%d dispatchers, %u engines. Moved: entries of all views together. Older: half of the dispatchers "
+      "lack the "
+      "newest hundredth of the list; the most users of an engine then.\n\n"
+      "| way | k | users of an engine: least / mean / p99 / most | engines of a dispatcher: least / mean / "
+      "most | "
+      "moved by an engine more | moved by a dispatcher more | older: most users | one view, ms |\n"
+      "| --- | --- | --- | --- | --- | --- | --- | --- |\n",
+      dispatchers, engines);
+  for (auto& way : ways)
+    for (int users : {8, 16, 24, 32, 48, 96}) {
+      Users all = usersOf(way, list, dispatchers, users);
+      std::vector<size_t> by, of(static_cast<size_t>(dispatchers));
+      for (auto& one : all) {
+        by.push_back(one.size());
+        for (auto d : one) ++of[d];
+      }
+      std::ranges::sort(by), std::ranges::sort(of);
+      size_t sum = std::accumulate(by.begin(), by.end(), size_t{0}), most = 0;
+      for (auto& one : usersOf(way, list, dispatchers, users, &older)) most = std::max(most, one.size());
+      bool dear = users == 24 || users == 96;  // the others say the same
+      size_t engine = dear ? moved(all, usersOf(way, more, dispatchers, users)) : 0;
+      size_t dispatcher = dear ? moved(all, usersOf(way, list, dispatchers + 1, users)) : 0;
+      double took = medianOf(5, [&] { way.view(list, dispatchers / 2, dispatchers, users); });
+      std::printf("| %s | %d | %zu / %.1f / %zu / %zu | %zu / %.0f / %zu | ", way.name, users, by.front(),
+                  double(sum) / engines, by[by.size() * 99 / 100], by.back(), of.front(),
+                  double(sum) / dispatchers, of.back());
+      dear ? std::printf("%zu | %zu", engine, dispatcher) : std::printf("- | -");
+      std::printf(" | %zu | %.1f |\n", most, took * 1000);
+      std::fflush(stdout);
+    }
+}
+
+// Utilisation of engines over its mean, where each dispatcher spreads its traffic over its view by capacity, and nobody
+// heeds how busy an engine is: the module does, so this is the worst that it starts from.
+struct Load {
+  const char* what;
+  double heavy,
+      bound;  // traffic of a tenth of the dispatchers against the others'; its part bound to the own zone
+  double p99 = 0, most = 0;
+};
+void addLoad(Load& sum, const Users& users, int dispatchers, uint64_t seed) {
+  std::mt19937_64 chance(seed);
+  size_t engines = users.size(), count = size_t(dispatchers);
+  std::vector<double>
+      sizes;  // of 16 zones, the largest three times the smallest; dispatchers stand where engines do
+  for (int zone = 0; zone < 16; ++zone) sizes.push_back(1 + zone / 7.5);
+  std::discrete_distribution<int> zones(sizes.begin(), sizes.end()), kinds({4, 3, 1});
+  std::vector<int> zoneOf(engines), home(count);
+  std::vector<double> capacity(engines), traffic(count), wide(count), near(count), load(engines);
+  for (size_t e = 0; e < engines; ++e) zoneOf[e] = zones(chance), capacity[e] = 8 << kinds(chance);
+  for (size_t d = 0; d < count; ++d) home[d] = zones(chance), traffic[d] = chance() % 10 == 0 ? sum.heavy : 1;
+  for (size_t e = 0; e < engines; ++e)
+    for (auto d : users[e]) wide[d] += capacity[e], near[d] += home[d] == zoneOf[e] ? capacity[e] : 0;
+  double work = 0, all = 0;
+  for (size_t e = 0; e < engines; ++e) {
+    for (auto d : users[e]) {
+      double bound = near[d] > 0 ? sum.bound : 0;
+      load[e] += traffic[d] * ((1 - bound) / wide[d] + (home[d] == zoneOf[e] ? bound / near[d] : 0));
+    }
+    work += load[e] * capacity[e], all += capacity[e];
+  }
+  std::ranges::sort(load);
+  sum.p99 += load[engines * 99 / 100] / (work / all), sum.most += load.back() / (work / all);
+}
+void loads(const std::vector<Way>& ways, int dispatchers, uint32_t engines) {
+  constexpr int kDraws = 3;
+  std::vector<std::string> tables;
+  std::vector<Load> kinds = {
+      {"all dispatchers have the same traffic", 1, 0},
+      {"a tenth of the dispatchers has ten times the traffic of the others", 10, 0},
+      {"the same, and 0.3 of the traffic is bound to the dispatcher's own zone", 10, 0.3}};
+  for (auto& kind : kinds) {
+    std::string& table = tables.emplace_back(std::string(kind.what) + ":\n\n| k |");
+    for (auto& way : ways) table.append(" ").append(way.name).append(" |");
+    table += "\n| --- | --- | --- | --- | --- |\n";
+  }
+  auto add = [&](const Users& users) {
+    for (size_t i = 0; i < kinds.size(); ++i) {
+      Load load = kinds[i];
+      for (uint64_t seed = 1; seed <= kDraws; ++seed) addLoad(load, users, dispatchers, seed);
+      char text[60];
+      std::snprintf(text, sizeof text, " %.2f / %.2f |", load.p99 / kDraws, load.most / kDraws);
+      tables[i] += text;
+    }
+  };
+  for (int users : {8, 16, 24, 32, 48, 96, 200}) {
+    for (auto& table : tables) table.append("| ").append(std::to_string(users)).append(" |");
+    for (auto& way : ways) add(usersOf(way, idsOf(engines), dispatchers, users));
+    for (auto& table : tables) table += "\n";
+  }
+  Users whole(engines);
+  for (auto& one : whole) one.resize(size_t(dispatchers)), std::iota(one.begin(), one.end(), uint16_t{0});
+  for (auto& table : tables) table += "| all: the whole list |";
+  add(whole);
+  std::printf(
+      "\nUtilisation of engines over its mean, p99 / most; %d dispatchers, %u engines of three kinds in 16 "
+      "unequal zones; "
+      "mean of three draws of who and what is where.\n",
+      dispatchers, engines);
+  for (auto& table : tables) std::printf("\n%s | | |\n", table.c_str());
+}
+
+void costs(int dispatchers, uint32_t engines) {
+  Settings set;
+  set.gateways = dispatchers, set.ordinal = dispatchers / 3, set.coldTime = 30;
+  set.profiles.resize(3);
+  set.profiles[1].zonesOpen = {"z3"}, set.profiles[2].kindsOpen = {"k2"};
+  ListEvent list{1, true, {}};
+  for (uint32_t i = 0; i < engines; ++i) {
+    Listing& one = list.rows.emplace_back();
+    one.row.id = 1000 + i, one.address = {0x7f000000 + i, 4200};
+    one.row.zone = std::string("z").append(std::to_string(i % 16)),
+    one.row.kind = std::string("k").append(std::to_string(i / 16 % 8 ? i % 2 : 2));
+  }
+  double now = 1e9;
+  Plan plan;
+  double start = medianOf(5, [&] { View(plan, set).apply(list, now); });
+  auto bytes = [] {
+    auto info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+  };
+  malloc_trim(0);
+  size_t before = bytes();
+  View view(plan, set);
+  Ids near;
+  for (auto& change : view.apply(list, now)) near.push_back(change.listing.row.id);
+  size_t held = bytes() - before;
+  Figures figures = view.figures();
+  auto us = [](double took) { return took * 1e6; };
+  double same = medianOf(21, [&] { view.apply(list, now += 1); });
+  double idle = medianOf(1001, [&] { view.tick(now += 0.1); });
+  uint32_t id = 0;
+  double one = medianOf(1001, [&] {
+    Listing row = list.rows[++id * 37 % engines];
+    row.row.cell = int(id);
+    view.apply({1, false, {row}}, now += 1);
+  });
+  double comes = medianOf(501, [&] {
+    Listing row = list.rows[0];
+    row.row.id = 500000 + (++id * 7919) % 100000;
+    view.apply({1, false, {row}}, now += 1);
+  });
+  view.apply(list, now += 1);
+  bool is = false;
+  double rest =
+      medianOf(1001, [&] { view.rests(near[id++ / 2 % near.size()], is = !is), view.tick(now += 0.1); });
+  view.apply({1, true, {}}, now += 1), view.apply(list, now += 1);
+  ListEvent zone{1, false, {}};
+  for (auto& row : list.rows)
+    if (row.row.zone == "z5") zone.rows.push_back(row);
+  auto timed = [&](auto&& work) {
+    double began = seconds();
+    size_t changes = work();
+    return std::pair{seconds() - began, changes};
+  };
+  for (auto& row : zone.rows) row.row.state = NodeState::gone;
+  auto gone = timed([&] { return view.apply(zone, now += 60).size(); });
+  for (auto& row : zone.rows) row.row.state = NodeState::inService, row.bornMs = int64_t(now * 1000) + 60000;
+  auto back = timed([&] { return view.apply(zone, now += 60).size(); });
+  auto warm = timed([&] { return view.tick(now += 31).size(); });
+  std::printf(
+      "\n%d dispatchers, %u engines, users %d, at most %d, three classes.\n\n"
+      "| what | time, us | entries told |\n| --- | --- | --- |\n"
+      "| start: the whole list | %.0f | %zu |\n| whole list, nothing new | %.0f | 0 |\n"
+      "| one engine's row changes | %.1f | |\n| one engine more | %.1f | |\n"
+      "| one is found unfit or fit, and a tick | %.2f | |\n| a tick with nothing to do | %.2f | 0 |\n"
+      "| %zu engines gone in one event | %.0f | %zu |\n| back, cold, in one event | %.0f | %zu |\n"
+      "| warm, in one tick | %.0f | %zu |\n\n"
+      "In view %zu, reach %d; %zu bytes held, %.1f an engine, those in view included.\n",
+      dispatchers, engines, plan.users, plan.mostUsers, us(start), near.size(), us(same), us(one), us(comes),
+      us(rest), us(idle), zone.rows.size(), us(gone.first), gone.second, us(back.first), back.second,
+      us(warm.first), warm.second, figures.used, figures.reach, held, double(held) / engines);
+}
+
+}  // namespace
+
+int main() {
+  std::vector<Way> ways = {
+      {"rendezvous", rendezvous}, {"rounds", rounds}, {"ring", ring}, {"random", randomly}};
+  for (auto [dispatchers, engines] : {std::pair{240, 4400u}, {2400, 44000u}}) {
+    compare(ways, dispatchers, engines);
+    loads(ways, dispatchers, engines);
+  }
+  for (auto [dispatchers, engines] : {std::pair{38, 344u}, {150, 1376u}, {600, 11000u}, {2400, 44000u}})
+    costs(dispatchers, engines);
+  return 0;
+}
--- a/tests/view_cases_test.cpp
+++ b/tests/view_cases_test.cpp
@@ -137,6 +137,24 @@
   CHECK_EQ(one.view.lines().size(), 2);
 }
 
+TEST_CASE("what was found unfit is forgotten when it leaves the view") {
+  Plan plan{2, 40, 4, 0.5, 5};
+  Dispatcher one(plan, 40, 0);
+  Model model{plan, 40, 0};
+  for (auto& row : enginesOf(40)) model.put(row);
+  one.whole(enginesOf(40));
+  auto wide = std::ranges::find_if(one.engines, [](auto& told) { return told.second.place < 0; });
+  REQUIRE(wide != one.engines.end());
+  uint32_t id = wide->first;
+  one.view.rests(id, true);
+  one.whole(enginesOf(1000));  // enough among the first
+  one.until(kBegin + 100, [](double) {});
+  REQUIRE_FALSE(one.engines.contains(id));
+  one.whole(enginesOf(40), kBegin + 100);
+  CHECK(one.engines.contains(id));
+  CHECK_EQ(model.broken(one, kBegin + 100, true), "");  // it counts as usable: nobody is in view in its place
+}
+
 TEST_CASE("who is in view because it is wide drains as others do; a clock set back puts nothing off") {
   Plan plan{1, 40, 4, 0.5, 5};
   Dispatcher one(plan, 40, 0);
