--- a/src/protocol/change_log.h
+++ b/src/protocol/change_log.h
@@ -24,7 +24,7 @@
 class FrameReader {
  public:
   // The largest list that a frame may hold: far more engines than a gateway has descriptors for.
-  static constexpr size_t kMostFrame = 13 + 27 * 4096;
+  static constexpr size_t kMostFrame = 13 + 27 * 65536;
   enum class State { more, event, nothingNew, bad };
 
   FrameReader(std::vector<std::string> zones, std::vector<std::string> kinds)
