Laboratory: membership at several sizes in virtual time, elmcleat-lab members

Cause: the members' cost was told at up to 1,024 members, one delay for all links, and by the mean member alone. The check of what must hold walked all members at every turn: it now looks at what a turn may have changed (rows and sender heard, events, itself) and at 64 others round and round, so up to 64 members at all of them as before; among more a change by another way is found within N/64 turns. agreed() begins with the pair that did not agree last, and still looks at every pair before it says yes; a test holds it against a walk over all.

--- a/src/lab/gossip.h
+++ b/src/lab/gossip.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "lab/events.h"
+#include "lab/traffic.h"
 #include "members/core.h"
 #include "members/wire.h"
 #include "pcg32.h"
@@ -37,6 +38,9 @@
   void slow(int member, double by);                          // what comes to it waits for so long
 
   Weather weather;
+  void regions(int count) { regions_ = count; }  // members in order; 0: `weather` is everywhere
+  Weather between{.least = 0.03, .most = 0.08};  // of links between regions
+  int regionOf(int member) const { return int(size_t(member) * size_t(regions_) / hosts_.size()); }
   void run(double until);
   double now() const { return now_; }
   Pcg32& chance() { return chance_; }
@@ -53,13 +57,20 @@
   // Members that run and that `by` (all, if below 0) found to be down itself, or suspected, each time.
   int downs(int by = -1) const { return sum(downs_, by); }
   int suspicions(int by = -1) const { return sum(suspicions_, by); }
+  // Of the downs: the life that was called down runs, and no link between the two is cut.
+  int wrongDowns() const { return wrongDowns_; }
+  double heldWrongly() const;  // part of all that is held of others by those that run
 
   // Of all members together, since reset().
   void reset();
   uint64_t bytes() const { return bytes_; }
   uint64_t messages() const { return messages_; }
   uint64_t streams() const { return streams_; }
-  double cpu() const { return cpu_; }  // seconds that cores and wire have taken
+  double cpu() const { return cpu_; }          // seconds of this thread that cores and wire have taken
+  size_t largest() const { return largest_; }  // bytes of a message
+  int streamsAtOnce() const { return streamsAtOnce_; }  // at one member, coming and going, at most
+  const Traffic& traffic(int member) const { return traffic_[size_t(member)]; }  // in and out
+  const Traffic& all() const { return all_; }
 
   const std::string& broken() const { return broken_; }  // the first thing that must hold and did not
 
@@ -71,7 +82,9 @@
     double slow = 0;
     uint64_t version = 0;              // of its next wake
     std::vector<std::string> waiting;  // what came while it stood still
-    std::vector<members::Claim> held;  // what it held of each after its last turn
+    std::vector<members::Claim> held;  // what it held of each when that was last looked at
+    size_t next = 0;                   // of them, the first that is looked at in the next turn
+    int streams = 0;                   // on their way to and from it
     members::Life highest;             // the greatest claim that it made of itself in any life
   };
 
@@ -81,6 +94,14 @@
   void turn(Host& host, const std::string* bytes);
   void deliver(int from, Host& to, const std::string& bytes);
   void check(Host& host);
+  bool checkClaim(Host& host, int of);
+  bool breaks(const Host& host, const std::string& what) {
+    broken_ = "at " + std::to_string(now_) + " n" + std::to_string(host.member) + ": " + what;
+    return false;
+  }
+  bool held(const Host& host, int other) const {  // rightly
+    return host.core->claimOf(other).there() == runs(other);
+  }
   Host& host(int member) { return hosts_[size_t(member)]; }
 
   members::Plan plan_;
@@ -93,6 +114,12 @@
   uint64_t bytes_ = 0, messages_ = 0, streams_ = 0, seeds_ = 0;
   double cpu_ = 0;
   std::vector<int> downs_, suspicions_;  // by who found it
+  int wrongDowns_ = 0, streamsAtOnce_ = 0, regions_ = 0;
+  size_t largest_ = 0;
+  std::vector<Traffic> traffic_;
+  Traffic all_;
+  std::vector<int> touched_;                    // of whom something may have changed in this turn
+  mutable size_t wrongHost_ = 0, wrongOf_ = 0;  // two that did not agree when that was last looked at
   std::string broken_;
 };
 
--- a/src/tools/lab.cpp
+++ b/src/tools/lab.cpp
@@ -1,8 +1,10 @@
 // elmcleat-lab: plays scenarios, beside baselines, and says what came of it.
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <chrono>
 #include <iostream>
 
+#include "lab/members_scale.h"
 #include "lab/report.h"
 #include "lab/sockets.h"
 #include "lab/world.h"
@@ -59,6 +61,21 @@
   return sound;
 }
 
+// Membership at size; the file is written after each run, so that one that is stopped has told what it had.
+bool runMembers(const std::string& path, const std::string& json, int threads) {
+  bool sound = true;
+  auto began = std::chrono::steady_clock::now();
+  FiguresFile file =
+      playMembers(readMembersPlan(path), threads, [&](const FiguresFile& sofar, const std::string& line) {
+        std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
+        std::cerr << long(took.count()) << " s: " << line << '\n';
+        if (!json.empty()) writeFigures(json, sofar);
+        sound &= std::ranges::none_of(sofar.missing, [](auto& one) { return one.figure == "members"; });
+      });
+  std::cout << tableOf({file});
+  return sound;
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -77,9 +94,21 @@
       ->type_name("PROGRAM")
       ->check(CLI::ExistingFile);
   run->add_option("--report", options.report, "a folder for JSON, plots and a page");
+  auto* members = app.add_subcommand("members", "membership at several sizes, in virtual time");
+  std::string membersPlan, membersJson;
+  int membersThreads = 2;
+  members->add_option("PLAN", membersPlan, "as lab/scale/members.json")->required()->check(CLI::ExistingFile);
+  members->add_option("--json", membersJson, "a file for the figures");
+  members->add_option("--threads", membersThreads)->check(CLI::Range(1, 64));
   app.require_subcommand(1, 1);
   CLI11_PARSE(app, count, words);
   bool sound = true;
+  if (*members) try {
+      sound = runMembers(membersPlan, membersJson, membersThreads);
+    } catch (const std::exception& fault) {
+      std::cerr << fault.what() << '\n';
+      sound = false;
+    }
   for (auto& file : options.files) try {
       sound &= runOne(file, options);
     } catch (const std::exception& fault) {
