--- a/src/lab/members_scale.cpp
+++ b/src/lab/members_scale.cpp
@@ -182,7 +182,7 @@
 struct Job {
   const MembersScene* scene;
   int size, seed;
-  double cost() const { return double(size) * size * (scene->lasts + 60); }
+  double cost() const { return 1e9 * size + size * scene->lasts; }  // large ones first, whatever they play
 };
 
 struct Column {  // of a phase: how it is named and read, and what it may be
