Laboratory: the scale run, real dispatchers beside hollow processes

Cause: nothing told how the program grows to 44,000 engines. Change: elmcleat-lab scale plays a plan of sizes, variants and steps; hollow engines, change log and clients are child processes; bounds on time, memory and processes; tables and a file of figures; elmcleat-lab capacity checks or fills a page from such files.

--- a/src/lab/figures_file.cpp
+++ b/src/lab/figures_file.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 #include <fstream>
 #include <thread>
 
@@ -38,24 +37,6 @@
           {"passedAt", jsonOf(figure.passedAt())}};
 }
 
-std::string shortly(double value) {  // three digits that count
-  char text[32];
-  std::snprintf(text, sizeof text, std::abs(value) >= 1000 || value == 0 ? "%.0f" : "%.3g", value);
-  return text;
-}
-std::string shortly(const std::optional<double>& value) { return value ? shortly(*value) : "-"; }
-
-std::string growth(const Figure& figure) {
-  Fits fits = figure.fits();
-  if (figure.xs.size() < 3) return "too few sizes";
-  if (fits.best == Growth::none) return "neither line nor power";
-  bool line = fits.best == Growth::line;
-  const Fit& fit = line ? *fits.line : *fits.power;
-  std::string form = line ? shortly(fit.a) + (fit.b < 0 ? " - " : " + ") + shortly(std::abs(fit.b)) + " x"
-                          : shortly(fit.a) + " x^" + shortly(fit.b);
-  return form + ", residual " + shortly(std::round(fit.residual * 1000) / 1000);
-}
-
 }  // namespace
 
 bool Figure::measuredAtTarget() const { return target && std::ranges::find(xs, *target) != xs.end(); }
@@ -118,30 +99,4 @@
   return file;
 }
 
-std::string tableOf(const std::vector<FiguresFile>& files, const std::string& prefix) {
-  std::string text =
-      "| figure | by | measured | grows as | at target | limit | passed at |\n"
-      "| --- | --- | --- | --- | --- | --- | --- |\n";
-  for (auto& file : files)
-    for (auto& one : file.figures) {
-      if (!one.name.starts_with(prefix)) continue;
-      std::string measured;
-      for (size_t i = 0; i < one.xs.size(); ++i)
-        measured.append(i ? "; " : "").append(shortly(one.xs[i])).append(": ").append(shortly(one.ys[i]));
-      std::string target = "-";
-      if (one.target)
-        target = shortly(*one.target) + ": " + shortly(one.atTarget()) +
-                 (one.measuredAtTarget() ? "" : " (fitted)");
-      text += "| " + one.name + (one.variant.empty() ? "" : ", " + one.variant) + " (" + one.unit + ") | " +
-              one.xName + " | " + measured + " | " + growth(one) + " | " + target + " | " +
-              shortly(one.limit) + " | " + (one.limit ? shortly(one.passedAt()) : "-") + " |\n";
-    }
-  for (auto& file : files)
-    for (auto& one : file.missing)
-      if (one.figure.starts_with(prefix))
-        text += "| " + one.figure + (one.variant.empty() ? "" : ", " + one.variant) + " | " + shortly(one.x) +
-                " | not taken: " + one.reason + " | - | - | - | - |\n";
-  return text;
-}
-
 }  // namespace elmcleat::lab
--- a/src/lab/figures_file.h
+++ b/src/lab/figures_file.h
@@ -44,7 +44,4 @@
 void writeFigures(const std::string& path, const FiguresFile& file);
 FiguresFile readFigures(const std::string& path);  // throws Faults
 
-// A table for people, in Markdown: figures whose name begins with `prefix`.
-std::string tableOf(const std::vector<FiguresFile>& files, const std::string& prefix = "");
-
 }  // namespace elmcleat::lab
--- /dev/null
+++ b/src/lab/scale.cpp
@@ -0,0 +1,49 @@
+#include "lab/scale.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+
+#include "lab/scale_trial.h"
+
+namespace elmcleat::lab {
+
+FiguresFile runScale(const ScalePlan& plan, const std::string& program) {
+  FiguresFile file;
+  file.machine = machineHere(), file.plan = plan.document;
+  double load = 0;
+  std::ifstream("/proc/loadavg") >> load;
+  file.machine["loadBefore"] = load;  // what else ran beside it
+  ScaleBounds bounds;
+  bounds.endsAt = secondsNow() + plan.mostSeconds, bounds.mostMb = file.machine.value("memoryMb", 0.0) / 2;
+  size_t trials = 0;
+  for (auto& run : plan.runs) trials += run.engines.size() * plan.variants.size();
+  std::cerr << plan.name << ": " << trials << " trials, " << 3 * plan.real + 3
+            << " processes at once, at most " << plan.mostSeconds << " s and " << int(bounds.mostMb)
+            << " MB\n";
+  Found found;
+  for (auto& run : plan.runs)
+    for (int engines : run.engines)
+      for (auto& [variant, gateway] : plan.variants) {
+        found.variant = variant;
+        double began = secondsNow();
+        std::string doing = "start";
+        try {
+          bounds.check();
+          ScaleFolder folder;
+          Trial trial(plan, program, folder, bounds, found, engines, gateway);
+          trial.wait(run.settle);
+          for (auto& step : run.steps) doing = step.what, trial.play(step);
+        } catch (const std::exception& fault) {
+          bounds.processes.clear();
+          file.missing.push_back({doing, variant, fault.what(), double(engines)});
+        }
+        std::cerr << "  " << engines << " engines, " << variant << ": " << secondsNow() - began << " s"
+                  << (file.missing.empty() ? "" : ", " + std::to_string(file.missing.size()) + " not taken")
+                  << '\n';
+      }
+  file.figures = found.figures(plan);
+  return file;
+}
+
+}  // namespace elmcleat::lab
--- /dev/null
+++ b/src/lab/scale_plan.cpp
@@ -0,0 +1,80 @@
+#include <cmath>
+
+#include "lab/scale.h"
+#include "scale_schema.h"
+
+namespace elmcleat::lab {
+namespace {
+
+Step readStep(const Section& row) {
+  Step step;
+  step.what = row.need<std::string>("do");
+  step.seconds = row.get("seconds", step.seconds), step.rate = row.get("rate", step.rate);
+  step.work = row.get("work", step.work), step.away = row.get("away", step.away);
+  step.times = row.get("times", step.times);
+  step.speeds = row.get("speeds", step.speeds), step.counts = row.get("counts", step.counts);
+  return step;
+}
+
+Expectation readExpectation(const Section& row) {
+  Expectation one;
+  one.figure = row.need<std::string>("figure"), one.variant = row.get<std::string>("variant", "");
+  auto bound = [](const Section& from, const char* key) {
+    return from.has(key) ? std::optional(from.need<double>(key)) : std::nullopt;
+  };
+  const Section value = row.part("value"), exponent = row.part("exponent");
+  one.least = bound(value, "least"), one.most = bound(value, "most");
+  one.leastExponent = bound(exponent, "least"), one.mostExponent = bound(exponent, "most");
+  return one;
+}
+
+}  // namespace
+
+ScalePlan readScalePlan(const std::string& path) {
+  ScalePlan plan;
+  plan.document = readJson(path);
+  if (auto faults = schemaFaults(plan.document, kScaleSchema, path); !faults.empty())
+    throw Faults(std::move(faults));
+  const Section file(plan.document);
+  plan.name = file.need<std::string>("name"), plan.mostSeconds = file.need<double>("mostSeconds");
+  plan.real = file.get("real", plan.real), plan.enginesEach = file.get("enginesEach", plan.enginesEach);
+  if (file.has("dispatchers")) plan.dispatchers = file.need<int>("dispatchers");
+  plan.variants = file.get("variants", std::map<std::string, Json>{{"off", nullptr}});
+  plan.targets = file.get("target", plan.targets), plan.limits = file.get("limits", plan.limits);
+  for (auto& row : file.rows("expect")) plan.expect.push_back(readExpectation(row));
+  for (auto& row : file.rows("runs")) {
+    ScaleRun& run = plan.runs.emplace_back();
+    run.engines = row.need<std::vector<int>>("engines"), run.settle = row.get("settle", run.settle);
+    for (auto& step : row.rows("steps")) run.steps.push_back(readStep(step));
+  }
+  return plan;
+}
+
+std::vector<std::string> unmet(const ScalePlan& plan, const FiguresFile& file) {
+  std::vector<std::string> lines;
+  for (auto& want : plan.expect) {
+    bool found = false;
+    auto check = [&](const Figure& one, const char* what, double got, std::optional<double> least,
+                     std::optional<double> most) {
+      if ((least && !(got >= *least)) || (most && !(got <= *most)))
+        lines.push_back(one.name + (one.variant.empty() ? "" : ", " + one.variant) + ": " + what + " " +
+                        std::to_string(got) + " is not in " + (least ? std::to_string(*least) : "..") +
+                        " to " + (most ? std::to_string(*most) : ".."));
+    };
+    for (auto& one : file.figures) {
+      if (one.name != want.figure || (!want.variant.empty() && one.variant != want.variant) || one.ys.empty())
+        continue;
+      found = true;
+      for (double y : one.ys) check(one, "value", y, want.least, want.most);
+      if (!want.leastExponent && !want.mostExponent) continue;
+      double y = std::max(one.ys.back(), 1e-9) / std::max(one.ys.front(), 1e-9);
+      check(one, "exponent", std::log(y) / std::log(one.xs.back() / one.xs.front()), want.leastExponent,
+            want.mostExponent);
+    }
+    if (!found)
+      lines.push_back(want.figure + (want.variant.empty() ? "" : ", " + want.variant) + ": was not taken");
+  }
+  return lines;
+}
+
+}  // namespace elmcleat::lab
--- /dev/null
+++ b/src/lab/scale_trial.cpp
@@ -0,0 +1,447 @@
+#include "lab/scale_trial.h"
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <numeric>
+#include <sstream>
+
+#include "runtime/stream.h"
+
+namespace elmcleat::lab {
+namespace {
+
+constexpr int kZones = 16;
+constexpr double kUp = 60;  // seconds in which all dispatchers must be ready
+
+Address ownAddress(uint32_t number, uint16_t port) {  // on loopback: each run has others
+  return {0x7f800000u | (static_cast<uint32_t>(getpid()) & 0x3fffu) << 6 | number, port};
+}
+
+void sleepFor(double span) { usleep(useconds_t(std::max(span, 0.0) * 1e6)); }
+
+bool answersCheck(const Address& address) {  // by 200
+  sockaddr_in to = nativeOf(address);
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  timeval limit{5, 0};
+  setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  const std::string ask = "GET /check HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n";
+  char head[16] = {};
+  bool well = connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0 &&
+              send(fd, ask.data(), ask.size(), MSG_NOSIGNAL) > 0 && recv(fd, head, 15, 0) >= 12 &&
+              std::string(head).starts_with("HTTP/1.1 200");
+  ::close(fd);
+  return well;
+}
+
+std::string speedName(double speed) {
+  std::ostringstream text;
+  text << 'x' << speed;
+  return text.str();
+}
+
+}  // namespace
+
+void Found::add(const std::string& figure, const std::string& unit, const std::string& xName, double x,
+                double y) {
+  auto at = std::ranges::find_if(
+      all_, [&](const Taken& one) { return one.of.name == figure && one.of.variant == variant; });
+  if (at == all_.end()) {
+    Figure of;
+    of.name = figure, of.variant = variant, of.unit = unit, of.xName = xName;
+    at = all_.insert(at, Taken{of, {}});
+  }
+  at->values[x].push_back(y);
+}
+
+std::vector<Figure> Found::figures(const ScalePlan& plan) const {
+  std::vector<Figure> figures;
+  for (auto& taken : all_) {
+    Figure& one = figures.emplace_back(taken.of);
+    for (auto& [x, repeats] : taken.values) {
+      auto sorted = repeats;
+      std::ranges::sort(sorted);
+      size_t n = sorted.size();
+      one.xs.push_back(x), one.ys.push_back((sorted[(n - 1) / 2] + sorted[n / 2]) / 2);
+      one.repeats.push_back(repeats);
+    }
+    if (auto at = plan.targets.find(one.xName); at != plan.targets.end()) one.target = at->second;
+    if (auto at = plan.limits.find(one.name); at != plan.limits.end()) one.limit = at->second;
+  }
+  std::ranges::stable_sort(figures, {}, [](const Figure& one) { return std::tie(one.name, one.variant); });
+  return figures;
+}
+
+Trial::Trial(const ScalePlan& plan, const std::string& program, const ScaleFolder& folder,
+             ScaleBounds& bounds, Found& found, int engines, const Json& gateway)
+    : plan_(plan), program_(program), folder_(folder), bounds_(bounds), found_(found), engines_(engines) {
+  for (int i = 0; i < plan.real; ++i) {
+    int listener = listenAnywhere();
+    ports_.push_back(portOf(listener));
+    auto& its = *servers_.emplace_back(std::make_unique<Servers>());
+    its.child = std::make_unique<Child>(
+        [&its, listener](int orders) { serveEngines(listener, orders, *its.counts); });
+    ::close(listener);
+    bounds_.processes.insert(its.child->pid());
+  }
+  int listener = listenOn(ownAddress(0, 0));
+  Address changeLog = ownAddress(0, portOf(listener));
+  changeLog_ = std::make_unique<Child>([this, listener](int orders) {
+    serveChangeLog(listener, orders, {uint32_t(engines_), kZones, 1, ports_}, *log_);
+  });
+  ::close(listener);
+  bounds_.processes.insert(changeLog_->pid());
+  for (int i = 0; i < plan.real; ++i) {
+    auto& its = *real_.emplace_back(std::make_unique<Real>());
+    its.at = ownAddress(uint32_t(i) + 1, 4100), its.log = folder_.path + "/" + std::to_string(i) + ".log";
+    its.clients =
+        std::make_unique<Child>([&its](int orders) { serveClients(its.at, orders, "quick", *its.counts); });
+    bounds_.processes.insert(its.clients->pid());
+    std::ofstream(folder_.path + "/" + std::to_string(i) + ".json") << configFor(i, changeLog).dump();
+  }
+  double began = secondsNow();
+  for (int i = 0; i < plan.real; ++i) start(i, gateway);
+  awaitReady(began);
+}
+
+Trial::~Trial() {
+  for (auto& one : real_)
+    if (one->pid > 0) ::kill(one->pid, SIGKILL), waitpid(one->pid, nullptr, 0);
+  bounds_.processes.clear();
+}
+
+Json Trial::configFor(int dispatcher, const Address& changeLog) const {
+  Json hosts = Json::array(), zones = Json::array();
+  for (int i = 0; i < kZones; ++i) zones.push_back("zone-" + std::to_string(i));
+  for (uint32_t i = 0; i < uint32_t(engines_); ++i) {
+    char id[16];
+    std::snprintf(id, sizeof id, "s-%08x", i + 1);
+    hosts.push_back({{"host", id},
+                     {"dial", textOf({kFirstEngine + i, ports_[i % ports_.size()]})},
+                     {"site", zones[i % kZones]},
+                     {"class", "std"},
+                     {"block", i / kZones},
+                     {"health", "in_service"},
+                     {"born_ms", 0}});
+  }
+  int dispatchers =
+      plan_.dispatchers.value_or(std::max(plan_.real, int(std::lround(engines_ / plan_.enginesEach))));
+  Json settings{{"balancers", dispatchers},
+                {"ordinal", dispatcher},
+                {"localities", zones},
+                {"flavors", {"std"}},
+                {"zone", "zone-0"},
+                {"classes",
+                 {{{"name", "quick"},
+                   {"repeat", "idempotent"},
+                   {"aimUs", 500000},
+                   {"aimStretch", 2},
+                   {"lateWorth", 0.5},
+                   {"deadlineUs", 2000000},
+                   {"value", 1}}}},
+                {"accounts", {{{"name", "acme"}, {"fraction", 1.0}}}},
+                {"rules",
+                 {{"drainGraceUs", 250000},
+                  {"coldFrom", 0.4},
+                  {"coldUs", 60000000},
+                  {"fallMultiple", 3},
+                  {"fallUs", 1000000}}},
+                {"limits",
+                 {{"streamsPerConn", 32},
+                  {"connectTimeoutUs", 250000},
+                  {"connIdleUs", 15000000},
+                  {"maxAttempts", 3},
+                  {"cancel", true},
+                  {"probing", true}}},
+                {"specifics", {{"kindCores", {8}}, {"dop", {1}}, {"ranksHeeded", true}}}};
+  if (plan_.document.contains("settings")) settings.merge_patch(plan_.document["settings"]);
+  return {
+      {"name", "scale" + std::to_string(dispatcher)},
+      {"listen", textOf(real_[size_t(dispatcher)]->at)},
+      {"seed", "8c1f30d27a5be964"},
+      {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 20000}}},
+      {"changelog", textOf(changeLog)},
+      {"known", {{"seq", 1}, {"results", {{{"seq", 1}, {"fleet", {{"whole", true}, {"hosts", hosts}}}}}}}},
+      {"settings", settings}};
+}
+
+void Trial::start(int dispatcher, const Json& gateway) {
+  std::string base = folder_.path + "/" + std::to_string(dispatcher);
+  if (!gateway.is_null()) std::ofstream(base + ".gateway.json") << gateway.dump();
+  Real& its = *real_[size_t(dispatcher)];
+  pid_t parent = getpid();
+  its.pid = fork();
+  if (its.pid < 0) throw Faults({"no process for a dispatcher"});
+  if (its.pid == 0) {
+    endWith(parent, 0);
+    int log = open(its.log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    dup2(log, 2), dup2(log, 1);
+    setenv("PROXY_CONFIG", (base + ".json").c_str(), 1);
+    for (const char* name : {"PROXY_LISTEN", "PROXY_NAME", "ELMCLEAT_LOG"}) unsetenv(name);
+    std::string own = base + ".gateway.json";
+    if (gateway.is_null()) execl(program_.c_str(), program_.c_str(), nullptr);
+    else execl(program_.c_str(), program_.c_str(), "--gateway", own.c_str(), nullptr);
+    _exit(99);
+  }
+  bounds_.processes.insert(its.pid);
+}
+
+void Trial::awaitReady(double began) {
+  std::vector<bool> ready(real_.size());
+  while (std::ranges::find(ready, false) != ready.end()) {
+    for (size_t i = 0; i < real_.size(); ++i)
+      if (!ready[i] && answersCheck(real_[i]->at)) ready[i] = true, add("ready", "s", secondsNow() - began);
+    wait(0.002);
+    if (secondsNow() > began + kUp) throw Faults({"not ready after " + std::to_string(int(kUp)) + " s"});
+  }
+}
+
+void Trial::wait(double seconds) {
+  for (double end = secondsNow() + seconds;;) {
+    bounds_.check();
+    for (auto& one : real_)
+      if (int status = 0; waitpid(one->pid, &status, WNOHANG) == one->pid) {
+        one->pid = 0;
+        std::string log = logOf(*one);
+        throw Faults({"a dispatcher ended, status " + std::to_string(status) + ": " +
+                      log.substr(log.size() - std::min<size_t>(log.size(), 300))});
+      }
+    double left = end - secondsNow();
+    if (left <= 0) return;
+    sleepFor(std::min(left, 0.25));
+  }
+}
+
+std::string Trial::logOf(const Real& real) const {
+  std::stringstream text;
+  text << std::ifstream(real.log).rdbuf();
+  return text.str();
+}
+
+void Trial::play(const Step& step) {
+  if (step.what == "quiet" || step.what == "changes") quiet(step, step.what == "changes");
+  else if (step.what == "connections") connections(step);
+  else if (step.what == "commands") commands(step);
+  else if (step.what == "drain") drain(step);
+  else if (step.what == "zone") zone(step);
+  else silent(step);
+}
+
+// --- what is read
+std::vector<double> Trial::cpu(double seconds) {
+  std::vector<double> used;
+  double began = secondsNow();
+  for (auto& one : real_) used.push_back(-cpuOf(one->pid));
+  wait(seconds);
+  double span = secondsNow() - began;
+  for (size_t i = 0; i < used.size(); ++i) used[i] = (used[i] + cpuOf(real_[i]->pid)) / span;
+  return used;
+}
+std::vector<double> Trial::worst(double seconds) {
+  std::vector<double> most(real_.size());
+  for (double end = secondsNow() + seconds - 0.5; secondsNow() < end;) {
+    auto second = cpu(1);
+    for (size_t i = 0; i < most.size(); ++i) most[i] = std::max(most[i], second[i]);
+  }
+  return most;
+}
+double Trial::sum(std::atomic<uint64_t> ClientCounts::*count) const {
+  double all = 0;
+  for (auto& one : real_) all += double(((*one->counts).*count).load());
+  return all;
+}
+double Trial::faulty() const {
+  return sum(&ClientCounts::lost) + sum(&ClientCounts::wrong) + sum(&ClientCounts::failed);
+}
+double Trial::openToEngines() const {
+  double all = 0;
+  for (auto& one : servers_) all += double(one->counts->open.load());
+  return all / double(real_.size());
+}
+uint32_t Trial::busiest() const {  // of the last half second, that with the most commands ever
+  uint32_t best = 0, most = 0;
+  double since = secondsNow() - 0.5;
+  for (uint32_t i = 0; i < uint32_t(engines_); ++i) {
+    auto& counts = *servers_[i % servers_.size()]->counts;
+    if (uint32_t sends = counts.sends[i]; sends > most && counts.lastSend[i] > since) most = sends, best = i;
+  }
+  return best;
+}
+void Trial::tellEngines(const std::string& order) const {
+  for (auto& one : servers_) one->child->tell(order);
+}
+void Trial::load(const Step& step) {
+  tellEngines("work " + std::to_string(step.work));
+  for (auto& one : real_) one->clients->tell("rate " + std::to_string(step.rate));
+}
+void Trial::over() {
+  for (auto& one : real_) one->clients->tell("rate 0");
+  wait(1);
+}
+
+// --- steps
+void Trial::quiet(const Step& step, bool byChanges) {
+  for (double speed : step.speeds) {
+    changeLog_->tell("speed " + std::to_string(speed));
+    wait(1);
+    if (speed == 0 && !byChanges)
+      for (auto& one : real_) {
+        Usage usage = usageOf(one->pid);
+        add("memory.engines", "MB", usage.anonymous), add("memory.engines.peak", "MB", usage.peak);
+        add("count.descriptors", "open", usage.descriptors), add("count.threads", "threads", usage.threads);
+      }
+    double in = double(log_->bytesOut), out = double(log_->bytesIn), events = double(log_->events);
+    std::vector<double> lines;
+    auto linesOf = [&](const Real& one) { return double(std::ranges::count(logOf(one), '\n')); };
+    for (auto& one : real_) lines.push_back(-linesOf(*one));
+    double began = secondsNow();
+    auto used = cpu(step.seconds);
+    double span = (secondsNow() - began) * double(real_.size());
+    in = (double(log_->bytesOut) - in) / span, out = (double(log_->bytesIn) - out) / span;
+    events = double(log_->events) - events;
+    if (byChanges) {
+      for (double one : used) found_.add("control.changes.cores", "cores", "changes", speed, one);
+      found_.add("control.changes.in", "B/s", "changes", speed, in);
+      continue;
+    }
+    std::string base = "control." + speedName(speed);
+    addEach(base + ".cores", "cores", used);
+    add(base + ".in", "B/s", in), add(base + ".out", "B/s", out);
+    if (events < 1) continue;
+    for (size_t i = 0; i < real_.size(); ++i)
+      add("count." + speedName(speed) + ".lines", "log lines an event",
+          (lines[i] + linesOf(*real_[i])) / events);
+  }
+  changeLog_->tell("speed 0");
+}
+
+void Trial::connections(const Step& step) {
+  for (int count : step.counts) {
+    double checks = sum(&ClientCounts::checks), broken = sum(&ClientCounts::broken);
+    for (auto& one : real_) one->clients->tell("idle " + std::to_string(count));
+    double all = double(count) * double(real_.size());
+    for (double end = secondsNow() + 20;; wait(0.1)) {
+      if (sum(&ClientCounts::idle) >= all && sum(&ClientCounts::checks) >= checks + all) break;
+      if (secondsNow() > end)
+        throw Faults({"connections: " + std::to_string(count) + " did not come up in 20 s"});
+    }
+    wait(1);
+    auto used = cpu(step.seconds);
+    for (auto& one : real_) {
+      Usage usage = usageOf(one->pid);
+      found_.add("memory.connections", "MB", "connections", count, usage.anonymous);
+      found_.add("count.connections.descriptors", "open", "connections", count, usage.descriptors);
+    }
+    for (double one : used) found_.add("connections.cores", "cores", "connections", count, one);
+    found_.add("connections.broken", "connections", "connections", count,
+               sum(&ClientCounts::broken) - broken);
+  }
+  for (auto& one : real_) one->clients->tell("idle 0");
+  wait(1);
+}
+
+void Trial::commands(const Step& step) {
+  auto idle = cpu(std::min(step.seconds, 3.0));
+  load(step);
+  wait(std::min(step.seconds, 2.0));
+  for (auto& one : real_)
+    for (auto& count : one->counts->latency) count = 0;
+  double bad = faulty(), shed = sum(&ClientCounts::shed), asked = sum(&ClientCounts::asked);
+  std::vector<double> answered;
+  for (auto& one : real_) answered.push_back(-double(one->counts->answered));
+  double began = secondsNow();
+  auto used = cpu(step.seconds);
+  double span = secondsNow() - began;
+  for (size_t i = 0; i < real_.size(); ++i) {
+    answered[i] += double(real_[i]->counts->answered);
+    if (answered[i] > 0) add("command.cpu", "us", (used[i] - idle[i]) * span / answered[i] * 1e6);
+    add("command.half", "ms", latencyAt(*real_[i]->counts, 0.5) * 1e3);
+    add("command.p99", "ms", latencyAt(*real_[i]->counts, 0.99) * 1e3);
+  }
+  asked = sum(&ClientCounts::asked) - asked;
+  add("command.shed", "of all", asked > 0 ? (sum(&ClientCounts::shed) - shed) / asked : 0);
+  add("count.engines.connected", "connections", openToEngines());
+  uint32_t most = 0, reached = 0;
+  for (auto& one : servers_)
+    for (auto& count : one->counts->connections) most = std::max<uint32_t>(most, count);
+  for (auto& one : servers_)
+    for (auto& count : one->counts->sends) reached += count > 0;
+  add("count.engines.reached", "engines", reached), add("count.engines.callers", "connections at one", most);
+  over();
+  add("command.lost", "commands", faulty() - bad);
+}
+
+void Trial::drain(const Step& step) {
+  load(step);
+  wait(1.5);
+  for (int i = 0; i < step.times; ++i) {
+    uint32_t engine = busiest();
+    double before = log_->toldAt;
+    changeLog_->tell("row " + std::to_string(engine) + " 1");
+    for (double end = secondsNow() + 2; log_->toldAt == before && secondsNow() < end;) sleepFor(0.001);
+    double told = log_->toldAt;
+    wait(std::min(step.seconds, 1.0));
+    add("drain.last", "s",
+        std::max(0.0, servers_[engine % servers_.size()]->counts->lastSend[engine] - told));
+    changeLog_->tell("row " + std::to_string(engine) + " 0");
+    wait(0.2);
+  }
+  over();
+}
+
+void Trial::zone(const Step& step) {
+  load(step);
+  wait(1.5);
+  auto base = cpu(std::min(step.seconds, 3.0));
+  const std::string one = std::to_string(busiest() % kZones) + " " + std::to_string(kZones);
+  auto over_ = [&](std::vector<double> used) {
+    for (size_t i = 0; i < used.size(); ++i) used[i] = std::max(0.0, used[i] - base[i]);
+    return used;
+  };
+  double bad = faulty(), shed = sum(&ClientCounts::shed), asked = sum(&ClientCounts::asked);
+  tellEngines("gone " + one + " 1");
+  changeLog_->tell("zone " + one + " 2 1");
+  addEach("zone.gone.cores", "cores", over_(cpu(1)));
+  addEach("zone.away.cores", "cores", over_(worst(step.away)));
+  tellEngines("gone " + one + " 0");
+  changeLog_->tell("zone " + one + " 0 1");
+  addEach("zone.back.cores", "cores", over_(worst(step.seconds)));
+  asked = sum(&ClientCounts::asked) - asked;
+  over();
+  add("zone.lost", "commands", faulty() - bad);
+  add("zone.shed", "of all", asked > 0 ? (sum(&ClientCounts::shed) - shed) / asked : 0);
+}
+
+void Trial::silent(const Step& step) {
+  changeLog_->tell("speed 1");
+  changeLog_->tell("silent 1");
+  addEach("silent.cores", "cores", cpu(step.seconds));
+  double before = log_->toldAt;
+  changeLog_->tell("silent 0");
+  std::vector<double> used;
+  for (auto& one : real_) used.push_back(-cpuOf(one->pid));
+  double began = secondsNow();
+  for (double end = began + 2; log_->toldAt == before && secondsNow() < end;) sleepFor(0.001);
+  double told = log_->toldAt;
+  std::string number = "event " + std::to_string(log_->number) + ",";
+  for (auto& one : real_) {
+    while (logOf(*one).find(number) == std::string::npos) {
+      if (secondsNow() > told + 10) throw Faults({"silent: the whole list was not applied in 10 s"});
+      wait(0.002);
+    }
+    add("silent.applied", "s", secondsNow() - told);
+  }
+  wait(std::max(0.0, began + 1 - secondsNow()));
+  double span = secondsNow() - began;
+  for (size_t i = 0; i < used.size(); ++i) used[i] = (used[i] + cpuOf(real_[i]->pid)) / span;
+  addEach("silent.back.cores", "cores", used);
+  addEach("silent.after.cores", "cores", worst(3));
+  changeLog_->tell("speed 0");
+}
+
+}  // namespace elmcleat::lab
--- a/src/tools/lab.cpp
+++ b/src/tools/lab.cpp
@@ -2,10 +2,14 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <chrono>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
+#include "lab/capacity_page.h"
 #include "lab/members_scale.h"
 #include "lab/report.h"
+#include "lab/scale.h"
 #include "lab/sockets.h"
 #include "lab/world.h"
 
@@ -72,15 +76,40 @@
         if (!json.empty()) writeFigures(json, sofar);
         sound &= std::ranges::none_of(sofar.missing, [](auto& one) { return one.figure == "members"; });
       });
-  std::cout << tableOf({file});
+  std::cout << tableOf({file}, {""});
   return sound;
 }
 
+// Whether all was taken, and as the plan expects it.
+bool scale(const std::string& path, const std::string& program, const std::string& json) {
+  ScalePlan plan = readScalePlan(path);
+  FiguresFile file = runScale(plan, program);
+  if (!json.empty()) writeFigures(json, file);
+  std::cout << tableOf({file}, {""});
+  auto lines = unmet(plan, file);
+  for (auto& line : lines) std::cout << "unmet: " << line << '\n';
+  return lines.empty() && file.missing.empty();
+}
+
+// Whether the page stands as the figures have it; `write`: it does then.
+bool capacity(const std::string& path, const std::vector<std::string>& names, bool write) {
+  std::vector<FiguresFile> files;
+  for (auto& name : names) files.push_back(readFigures(name));
+  std::stringstream page;
+  page << std::ifstream(path).rdbuf();
+  if (write) std::ofstream(path) << filled(page.str(), files);
+  else if (auto difference = firstDifference(page.str(), files)) {
+    std::cout << path << ": " << *difference << '\n';
+    return false;
+  }
+  return true;
+}
+
 }  // namespace
 
 int main(int count, char** words) {
   CLI::App app(
-      "elmcleat-lab: plays scenarios in virtual time; status 1 if a rule broke or an expectation failed");
+      "elmcleat-lab: plays scenarios, and runs at size; status 1 if a rule broke or an expectation failed");
   Options options;
   auto* run = app.add_subcommand("run", "play scenarios");
   run->add_option("FILE", options.files)->required();
@@ -100,14 +129,29 @@
   members->add_option("PLAN", membersPlan, "as lab/scale/members.json")->required()->check(CLI::ExistingFile);
   members->add_option("--json", membersJson, "a file for the figures");
   members->add_option("--threads", membersThreads)->check(CLI::Range(1, 64));
+  std::string plan, program, json, page;
+  std::vector<std::string> figures;
+  bool check = false, write = false;
+  auto* scaling = app.add_subcommand("scale", "real dispatchers beside hollow processes, by size");
+  scaling->add_option("PLAN", plan)->required()->check(CLI::ExistingFile);
+  scaling->add_option("--program", program, "the dispatcher")->required()->check(CLI::ExistingFile);
+  scaling->add_option("--json", json, "the file that the figures are written to");
+  auto* paging =
+      app.add_subcommand("capacity", "the page of capacity, and the figures that it is filled from");
+  paging->add_option("PAGE", page)->required()->check(CLI::ExistingFile);
+  paging->add_option("FIGURES", figures)->required()->check(CLI::ExistingFile);
+  auto* checking =
+      paging->add_flag("--check", check, "status 1 and the first line that differs (the default)");
+  paging->add_flag("--write", write, "fill it anew")->excludes(checking);
   app.require_subcommand(1, 1);
   CLI11_PARSE(app, count, words);
   bool sound = true;
-  if (*members) try {
-      sound = runMembers(membersPlan, membersJson, membersThreads);
+  if (!run->parsed()) try {
+      if (members->parsed()) return runMembers(membersPlan, membersJson, membersThreads) ? 0 : 1;
+      return (scaling->parsed() ? scale(plan, program, json) : capacity(page, figures, write)) ? 0 : 1;
     } catch (const std::exception& fault) {
       std::cerr << fault.what() << '\n';
-      sound = false;
+      return 1;
     }
   for (auto& file : options.files) try {
       sound &= runOne(file, options);
