--- a/src/lab/hollow.h
+++ b/src/lab/hollow.h
@@ -83,8 +83,8 @@
 };
 void serveChangeLog(int listener, int orders, const LogPlan& plan, LogCounts& counts);
 
-// --- clients of one dispatcher. Orders: "idle N" (connections that ask /check each 6 s), "rate R" (commands a second,
-// open loop).
+// --- clients of one dispatcher. Orders: "idle N" (connections that ask /check each 6 s), "rate R TABLES" (commands a
+// second, open loop, over so many tables).
 struct ClientCounts {
   std::atomic<uint64_t> asked, answered, shed, failed, lost, wrong, checks, broken, idle;
   std::array<std::atomic<uint64_t>, 200> latency;  // by kLatencySteps an order of magnitude, from 10 us
--- a/src/lab/scale.h
+++ b/src/lab/scale.h
@@ -19,6 +19,7 @@
 };
 struct ScaleRun {
   std::vector<int> engines;
+  std::vector<std::string> variants;  // empty: all
   double settle = 2;
   std::vector<Step> steps;
 };
--- a/src/lab/scale_plan.cpp
+++ b/src/lab/scale_plan.cpp
@@ -45,6 +45,10 @@
   for (auto& row : file.rows("runs")) {
     ScaleRun& run = plan.runs.emplace_back();
     run.engines = row.need<std::vector<int>>("engines"), run.settle = row.get("settle", run.settle);
+    run.variants = row.get("variants", run.variants);
+    for (auto& one : run.variants)
+      if (!plan.variants.contains(one))
+        throw Faults({path + ": " + row.nameOf("variants") + ": '" + one + "' is no variant here"});
     for (auto& step : row.rows("steps")) run.steps.push_back(readStep(step));
   }
   return plan;
