--- a/src/lab/scale_trial.h
+++ b/src/lab/scale_trial.h
@@ -66,7 +66,7 @@
   double sum(std::atomic<uint64_t> ClientCounts::*count) const;
   double faulty() const;  // commands lost, wrong or failed
   double openToEngines() const;
-  uint32_t busiest() const;
+  uint32_t busiest();  // the engine that gets the most commands
   void add(const std::string& figure, const std::string& unit, double y) {
     found_.add(figure, unit, "engines", engines_, y);
   }
