--- a/src/view/view.cpp
+++ b/src/view/view.cpp
@@ -217,7 +217,7 @@
     int from = reach.now(), to = reach.keeps();
     reach.settle(now);
     if (from == reach.now() && to == reach.keeps()) continue;
-    from = std::min(from, reach.now()), to = std::max(to, reach.keeps());
+    from = std::min(from, reach.now()), to = std::max(to, reach.now());
     for (auto at = near_.lower_bound({from, 0}); at != near_.end() && at->first < to; ++at)
       touched_.push_back(at->second);
   }
--- a/tests/view_cases_test.cpp
+++ b/tests/view_cases_test.cpp
@@ -96,6 +96,7 @@
     CHECK(one.view.lines().empty());
     if (!one.engines.empty()) continue;
     ++none;
+    CHECK_EQ(lines[2].find("view: no-engine-in-view: class large: "), 0);
     CHECK_EQ(lines[1].find(
                  "view: no-engine-in-view: class east: none of its 10 engines can be used: 0 in view rest"),
              0);
@@ -135,6 +136,12 @@
   one.view.rests(1, true);
   one.take(one.view.tick(kBegin + 100));
   CHECK_EQ(one.view.lines().size(), 2);
+  one.until(kBegin + 200, [](double) {});
+  CHECK_EQ(one.view.figures().reach, 2);  // by now it is by what it keeps alone
+  CHECK_EQ(one.engines.size(), 10);
+  for (uint32_t id = 11; id <= 1000; ++id) rows.push_back(engineOf(id, true, false));
+  one.whole(rows, kBegin + 200);  // enough among the first: nothing is kept any more
+  for (auto& [id, near] : one.engines) CHECK_GE(near.place, 0);
 }
 
 TEST_CASE("what was found unfit is forgotten when it leaves the view") {
