Several processes with views: faults between them, read off what reaches the engines

Cause: the view's core has its properties, but nothing showed that real processes keep to it while zones go, the change log falls silent, processes die, engines fail.

The crowd counts connections, and engines of it answer late, hang or refuse.

--- a/tests/service.h
+++ b/tests/service.h
@@ -20,6 +20,7 @@
 #include <filesystem>
 #include <fstream>
 #include <list>
+#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -219,6 +220,8 @@
     std::string id;
     uint32_t engine;  // its address
   };
+  enum class Way { answers, late, hangs, refuses };  // late: after kLate; refuses: breaks all connections
+  static constexpr double kLate = 0.15;
   Crowd() {
     sockaddr_in any{};
     any.sin_family = AF_INET;
@@ -243,44 +246,92 @@
     for (auto& sent : record()) all.insert(sent.engine);
     return all;
   }
+  void set(Way way, const std::set<uint32_t>& engines) {
+    std::lock_guard lock(mutex_);
+    for (uint32_t engine : engines) ways_[engine] = way;
+  }
+  int open(uint32_t engine) {  // connections there now
+    std::lock_guard lock(mutex_);
+    return open_[engine];
+  }
+  int mostOpen() {  // at any engine, at any time
+    std::lock_guard lock(mutex_);
+    return mostOpen_;
+  }
+  std::pair<int, int> made() {  // connections so far, and those that have ended
+    std::lock_guard lock(mutex_);
+    return {made_, ended_};
+  }
   int port = 0;
 
  private:
+  struct End {
+    End(int fd, uint32_t at) : peer(fd), engine(at) {}
+    Peer peer;
+    uint32_t engine;
+    std::list<std::pair<double, std::string>> owed = {};  // answers, and from when on
+  };
+  Way wayOf(uint32_t engine) {
+    std::lock_guard lock(mutex_);
+    auto found = ways_.find(engine);
+    return found == ways_.end() ? Way::answers : found->second;
+  }
+  // False once it is over.
+  bool serve(End& end, bool news) {
+    Way way = wayOf(end.engine);
+    if (way == Way::refuses) return end.peer.reset(), false;
+    bool over = news && !end.peer.more();
+    while (end.peer.in.find("\r\n") != std::string::npos) {
+      std::istringstream words(end.peer.until("\r\n"));
+      std::string verb, id, fields;
+      size_t length = 0;
+      words >> verb >> id >> fields;
+      if (words >> length) end.peer.bytes(length + 2);
+      if (verb != "GET") continue;
+      {
+        std::lock_guard lock(mutex_);
+        record_.push_back({now(), id, end.engine});
+      }
+      if (way == Way::hangs) continue;
+      end.owed.push_back({now() + (way == Way::late ? kLate : 0), id + " HIT fetches=1 6\r\na\tb\tc\n\r\n"});
+    }
+    for (; !end.owed.empty() && end.owed.front().first <= now(); end.owed.pop_front()) {
+      auto& hit = end.owed.front().second;  // it may have gone meanwhile
+      (void)!send(end.peer.fd(), hit.data(), hit.size(), MSG_NOSIGNAL);
+    }
+    return !over;
+  }
   void run() {
-    std::list<std::pair<Peer, uint32_t>> peers;
+    std::list<End> ends;
     while (!over_) {
       std::vector<pollfd> ready{{listener_, POLLIN, 0}};
-      for (auto& [peer, at] : peers) ready.push_back({peer.fd(), POLLIN, 0});
+      for (auto& end : ends) ready.push_back({end.peer.fd(), POLLIN, 0});
       poll(ready.data(), ready.size(), 20);
       size_t i = 1;
-      for (auto one = peers.begin(); one != peers.end(); ++i) {
-        auto& [peer, at] = *one;
-        bool ended = ready[i].revents && !peer.more();
-        while (peer.in.find("\r\n") != std::string::npos) {
-          std::istringstream words(peer.until("\r\n"));
-          std::string verb, id, fields;
-          size_t length = 0;
-          words >> verb >> id >> fields;
-          if (words >> length) peer.bytes(length + 2);
-          if (verb != "GET") continue;
-          std::string hit = id + " HIT fetches=1 6\r\na\tb\tc\n\r\n";
-          (void)!send(peer.fd(), hit.data(), hit.size(), MSG_NOSIGNAL);  // it may have gone meanwhile
-          std::lock_guard lock(mutex_);
-          record_.push_back({now(), id, at});
+      for (auto one = ends.begin(); one != ends.end(); ++i) {
+        if (serve(*one, ready[i].revents)) {
+          ++one;
+          continue;
         }
-        one = ended ? peers.erase(one) : std::next(one);
+        std::lock_guard lock(mutex_);
+        --open_[one->engine], ++ended_;
+        one = ends.erase(one);
       }
       if (!ready[0].revents) continue;
       sockaddr_in local{};
       socklen_t room = sizeof local;
       int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
       getsockname(fd, raw(local), &room);
-      peers.emplace_back(std::piecewise_construct, std::forward_as_tuple(fd),
-                         std::forward_as_tuple(ntohl(local.sin_addr.s_addr)));
+      uint32_t engine = ntohl(local.sin_addr.s_addr);
+      ends.emplace_back(fd, engine);
+      std::lock_guard lock(mutex_);
+      ++made_, mostOpen_ = std::max(mostOpen_, ++open_[engine]);
     }
   }
-  int listener_;
+  int listener_, made_ = 0, ended_ = 0, mostOpen_ = 0;
   std::vector<Sent> record_;
+  std::map<uint32_t, Way> ways_;
+  std::map<uint32_t, int> open_;
   std::mutex mutex_;
   std::atomic<bool> over_{false};
   std::thread thread_;
@@ -435,11 +486,19 @@
   std::string folder_;
 };
 
+// An engine in a frame of the change log; the zone by its number.
+std::string record(uint32_t id, int state, const sockaddr_in& address, int zone = 0, uint64_t bornMs = 0) {
+  return big(id, 4) + big(ntohl(address.sin_addr.s_addr), 4) + big(ntohs(address.sin_port), 2) +
+         big(uint64_t(state), 1) + big(uint64_t(zone), 1) + big(0, 1) + big(id - 1, 2) + big(1000, 4) +
+         big(bornMs, 8);
+}
+// Kinds: 0 nothing new, 1 the whole list, 2 changes.
+std::string frame(uint64_t number, int kind, const std::string& records = "") {
+  return big(9 + records.size(), 4) + big(number, 8) + big(uint64_t(kind), 1) + records;
+}
 // A frame with one engine of the list.
-std::string change(uint64_t number, uint32_t id, int state, const sockaddr_in& address) {
-  std::string record = big(id, 4) + big(ntohl(address.sin_addr.s_addr), 4) + big(ntohs(address.sin_port), 2) +
-                       big(uint64_t(state), 1) + big(0, 2) + big(id - 1, 2) + big(1000, 4) + big(0, 8);
-  return big(9 + record.size(), 4) + big(number, 8) + big(2, 1) + record;
+[[maybe_unused]] std::string change(uint64_t number, uint32_t id, int state, const sockaddr_in& address) {
+  return frame(number, 2, record(id, state, address));
 }
 
 std::string idOf(int number) {
