The laboratory plays gateways with views, beside the whole list in one run

Cause: what a view of the engines costs or brings was not measured. A scenario's section `view` gives each gateway src/view over the same list (rests and ticks wired as the program has to); `whole` plays the same arrivals without it. A list's event holds all engines of one trouble.

--- a/src/lab/figures.cpp
+++ b/src/lab/figures.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 #include "lab/record.h"
 
@@ -24,6 +25,34 @@
   figures[name + ".count"] = double(errors.size());
 }
 
+// The ninety-ninth of a hundred and the greatest, over the mean.
+void spread(std::vector<double> values, const std::string& name, std::map<std::string, double>& figures) {
+  double sum = 0;
+  for (double value : values) sum += value;
+  if (sum <= 0) return;
+  double mean = sum / double(values.size());
+  std::ranges::sort(values);
+  figures[name + ".p99"] = values[size_t(0.99 * double(values.size() - 1))] / mean;
+  figures[name + ".most"] = values.back() / mean;
+}
+
+// How evenly engines were used, by how many gateways, and how far cold ones.
+void engineFigures(const Scenario& scene, const Record& record, std::map<std::string, double>& figures) {
+  std::vector<double> work(size_t(scene.fleet.engines));
+  std::set<std::pair<uint32_t, uint32_t>> pairs;
+  for (auto& row : record.rows) {
+    if (row.mark == Mark::sent) pairs.emplace(row.node, row.gateway);
+    if (row.mark == Mark::ran && row.at >= scene.from) work[row.node] += record.asked[row.command].work;
+  }
+  std::vector<double> users(work.size());
+  for (auto& [node, gateway] : pairs) ++users[node];
+  spread(work, "engines.work", figures), spread(record.load, "engines.threads", figures);
+  figures["engines.users"] = double(pairs.size()) / double(users.size());
+  figures["engines.users.most"] = *std::ranges::max_element(users);
+  figures["cold.fell"] = double(record.fell);
+  if (record.coldAble > 0) figures["cold.used"] = record.coldBusy / record.coldAble;
+}
+
 }  // namespace
 
 std::map<std::string, double> figuresOf(const Scenario& scene, const Record& record) {
@@ -106,6 +135,7 @@
   for (auto& trouble : scene.troubles)
     if (trouble.kind == "slow")
       waitFigures(answered, trouble.at, trouble.at + trouble.lasts, "waits.slow", figures);
+  engineFigures(scene, record, figures);
   figures["rules"] = double(brokenRules(scene, record).size());
   figures["faster"] = record.realSeconds > 0 ? scene.lasts / record.realSeconds : 0;
   return figures;
--- a/src/lab/record.h
+++ b/src/lab/record.h
@@ -37,7 +37,9 @@
   std::vector<Asked> asked;
   std::vector<Wait> waits;
   std::vector<Second> seconds;
-  uint64_t fell = 0;  // cold engines pushed over
+  std::vector<double> load;           // threads a core of each engine that is up, every second
+  double coldBusy = 0, coldAble = 0;  // cores of cold engines in use, and there, summed every second
+  uint64_t fell = 0;                  // cold engines pushed over
   double realSeconds = 0;
 };
 
@@ -45,7 +47,8 @@
 std::vector<std::string> brokenRules(const Scenario& scene, const Record& record);
 
 // Figures by name: benefit, benefit.TEAM, benefit.profile.NAME, kept.TEAM, waits.half, waits.nine, waits.error,
-// waits.slow.half, waits.slow.nine, held.most, shed, rules.
+// waits.slow.half, waits.slow.nine, held.most, shed, rules; engines.work.p99|most and
+// engines.threads.p99|most over their means, engines.users|users.most (gateways that sent to one), cold.used, cold.fell.
 std::map<std::string, double> figuresOf(const Scenario& scene, const Record& record);
 
 }  // namespace elmcleat::lab
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -39,6 +39,8 @@
     }
   std::map<std::string, double> figures;
   for (auto& [name, sum] : sums) figures[name] = sum.first / sum.second;
+  if (auto whole = figures.find("whole:benefit"); whole != figures.end())
+    figures["gained"] = figures["benefit"] - whole->second;
   for (auto& team : scene.teams) {
     auto calm = figures.find("calm:benefit." + team.name);
     if (calm == figures.end()) continue;
--- a/src/lab/report.h
+++ b/src/lab/report.h
@@ -20,7 +20,8 @@
   bool met = false;
 };
 
-// Means over seeds; names as in figuresOf, `VARIANT:name` for those beside it, `lost.TEAM` for what the burst cost.
+// Means over seeds; names as in figuresOf, `VARIANT:name` for those beside it, `lost.TEAM` for what the burst cost,
+// `gained` for what the view brought.
 std::map<std::string, double> gather(const Scenario& scene, const std::vector<Run>& runs);
 std::vector<Verdict> judge(const Scenario& scene, const std::map<std::string, double>& figures);
 
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -12,10 +12,20 @@
   trouble.at = row.need<double>("at"), trouble.lasts = row.get("lasts", 1e9);
   trouble.team = row.get<std::string>("team", "");
   trouble.times = row.get("times", 1.0), trouble.part = row.get("part", 1.0);
+  trouble.zone = row.get<std::string>("zone", ""), trouble.steps = row.get("steps", trouble.steps);
   if (row.has("budgets")) trouble.plan = readBudgets(row.part("budgets"));
   return trouble;
 }
 
+view::Plan readViewPlan(const Section& section) {
+  view::Plan plan;
+  plan.users = section.get("users", plan.users), plan.mostUsers = section.get("mostUsers", plan.mostUsers);
+  plan.least = section.get("least", plan.least);
+  plan.usablePart = section.get("usablePart", plan.usablePart);
+  plan.narrowAfter = section.get("narrowAfterS", plan.narrowAfter);
+  return plan;
+}
+
 }  // namespace
 
 Scenario readScenario(const std::string& path) {
@@ -35,6 +45,7 @@
   f.kind.speed = fleet.get("speed", f.kind.speed);
   f.zones = fleet.get("zones", f.zones);
   f.delay = fleet.get("delay", f.delay), f.listLag = fleet.get("listLag", f.listLag);
+  f.reports = fleet.get("reports", f.reports);
   f.knee = fleet.get("knee", f.knee), f.fall = fleet.get("fall", f.fall);
   f.spillCost = fleet.get("spillCost", f.spillCost);
   f.coldFrom = fleet.get("coldFrom", f.coldFrom), f.coldTime = fleet.get("coldTime", f.coldTime);
@@ -73,7 +84,7 @@
     if (team.mix.empty())
       for (auto& profile : set.profiles) team.mix.push_back({profile.name, 1});
     all += row.get("share", team.rate);
-    set.tenants.push_back({team.name, row.get("share", team.rate), 0});
+    set.tenants.push_back({team.name, row.get("share", team.rate), row.get("quota", 0.0)});
   }
   for (auto& tenant : set.tenants) tenant.share /= all;
   for (auto& row : file.rows("troubles")) scene.troubles.push_back(readTrouble(row));
@@ -89,6 +100,11 @@
       faults.push_back(path + ": shared." + flaw.key + ": " + flaw.why);
     scene.shared = terms;
   }
+  if (file.has("view")) {
+    scene.view = readViewPlan(file.part("view"));
+    for (auto& flaw : view::flawsOf(*scene.view))
+      faults.push_back(path + ": view." + flaw.key + ": " + flaw.why);
+  }
   scene.against = file.get("against", scene.against);
   for (auto& row : file.rows("expect")) {
     Expect expect{row.need<std::string>("figure"), {}, {}};
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -9,6 +9,7 @@
 #include "config/schema.h"
 #include "policy.h"
 #include "shared/loans.h"
+#include "view/plan.h"
 
 namespace elmcleat::lab {
 
@@ -28,6 +29,7 @@
   double spillCost = 1.5;       // more work, with no memory at all
   int warmGroups = 4;           // groups of tables that stay warm
   double warmSaves = 0.2;       // part of the work that a warm group saves
+  bool reports = false;         // answers carry load reports
   double coldFrom = 0.4, coldTime = 10, fallMultiple = 0, fallTime = 1;
 };
 
@@ -49,12 +51,14 @@
 };
 
 struct Trouble {
-  std::string kind;  // burst, quiet, slow, silent, failing, lose, drain, reload
+  std::string kind;  // burst, quiet, slow, silent, failing, lose, roll, drain, reload
   double at = 0, lasts = 0;
   std::string team;                  // of burst and quiet
   double times = 1;                  // of burst: traffic; of slow: run times
   double part = 1;                   // of the engines
   std::optional<budget::Plan> plan;  // of reload
+  std::string zone = {};             // whose engines alone are meant; empty: all
+  int steps = 1;                     // of a roll: in so many it replaces them
 };
 
 struct Expect {  // a figure by its name, with bounds
@@ -72,9 +76,10 @@
   std::vector<Trouble> troubles;
   std::optional<budget::Plan> budgets;
   std::optional<shared::LoanTerms> shared;  // budgets by loans; members and amounts are the fleet's
+  std::optional<view::Plan> view;           // gateways see only these engines
   Json budgetsText;                         // the same as it stands in the file, for the program
   double retries = 0;                       // times that a client asks again after a shed, after a second
-  std::vector<std::string> against;         // plain, apart, calm, fifo, random
+  std::vector<std::string> against;         // plain, apart, whole, calm, fifo, random
   std::vector<Expect> expect;
 };
 
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -12,6 +12,7 @@
 #include "lab/engine.h"
 #include "lab/events.h"
 #include "pcg32.h"
+#include "view/view.h"
 
 namespace elmcleat::lab {
 namespace {
@@ -62,6 +63,10 @@
     void open() {
       const Variant& variant = world.variant_;
       uint64_t seed = world.seed_ * 1000 + number;
+      Settings settings = world.scene_.settings;
+      if (world.scene_.view) settings.ordinal = int(number);  // with the view and without it
+      if (world.scene_.view && variant.view && variant.deciding == Deciding::module)
+        view = std::make_unique<view::View>(*world.scene_.view, settings), settings = view->local();
       if (variant.deciding == Deciding::module) {
         if (world.scene_.budgets && variant.budgets) {
           office = std::make_unique<budget::Office>(*world.scene_.budgets, world.scene_.fleet.gateways);
@@ -73,15 +78,46 @@
                 {world.record_.asked[known->second].at, told.half, told.nine, seen, known->second});
           });
         }
-        gateway = openGateway(world.scene_.settings, seed, *this, office.get());
+        gateway = openGateway(settings, seed, *this, office.get());
       } else {
-        gateway = std::make_unique<Baseline>(world.scene_.settings, seed, *this,
-                                             variant.deciding == Deciding::random);
+        gateway = std::make_unique<Baseline>(settings, seed, *this, variant.deciding == Deciding::random);
       }
-      std::vector<NodeRow> rows;
+      ListEvent first{0, true, {}};
       for (uint32_t i = 0; i < world.engines_.size(); ++i)
-        rows.push_back(world.rowOf(i, NodeState::inService));
-      tell([&] { gateway->list(ListKind::full, rows); });
+        first.rows.push_back(world.listingOf(i, NodeState::inService));
+      hear(first);
+    }
+    // The list, or what of it is in view.
+    void hear(const ListEvent& event) {
+      if (view) return show(view->apply(event, world.now_), event.whole);
+      std::vector<NodeRow> rows;
+      for (auto& listing : event.rows) rows.push_back(rowOf(listing));
+      tell([&] { gateway->list(event.whole ? ListKind::full : ListKind::changes, rows); });
+    }
+    void show(const std::vector<view::Change>& changes, bool first) {
+      std::vector<NodeRow> rows;
+      for (auto& change : changes) {
+        NodeRow& row = rows.emplace_back(rowOf(change.listing));
+        row.place = change.place;
+      }
+      if (first || !rows.empty())
+        tell([&] { gateway->list(first ? ListKind::full : ListKind::changes, rows); });
+      watch();
+    }
+    void rests(uint32_t node, bool is) override {
+      if (view) view->rests(node, is), watch();  // the module is told in a turn of its own
+    }
+    void watch() {
+      double at = std::max(view->wakes(), world.now_);
+      if (at == HUGE_VAL || (watchAt >= 0 && watchAt <= at)) return;
+      world.events_.at(watchAt = at, [this, at] {
+        if (watchAt == at) watchAt = -1, show(view->tick(world.now_), false);
+      });
+    }
+    static NodeRow rowOf(const Listing& listing) {
+      NodeRow row = listing.row;
+      if (listing.bornMs > 0) row.startedAt = double(listing.bornMs) / 1000;
+      return row;
     }
     ~Gate() override { gateway.reset(), commands.clear(), out.clear(); }
 
@@ -151,7 +187,7 @@
                        [this, node, number_] { world.drop(node, number_); });
       over(number_, Outcome::expired);
     }
-    void over(uint64_t number_, Outcome what, const Bill* bill = nullptr) {
+    void over(uint64_t number_, Outcome what, const Bill* bill = nullptr, const Report* report = nullptr) {
       auto found = out.extract(number_);
       if (found.empty()) return;
       Sent sent = std::move(found.mapped());
@@ -160,7 +196,7 @@
       bool answered = what == Outcome::answered && !ended.contains(sent.number);
       if (answered) final(sent.number, Mark::answered);
       tell([&] {
-        sent.command->outcome(what, world.now_ - sent.at, ended.contains(sent.number), bill, nullptr);
+        sent.command->outcome(what, world.now_ - sent.at, ended.contains(sent.number), bill, report);
       });
       forget(sent.number);
     }
@@ -213,7 +249,8 @@
 
     World& world;
     uint32_t number;
-    double wakeAt = -1;
+    double wakeAt = -1, watchAt = -1;
+    std::unique_ptr<view::View> view;
     std::unique_ptr<budget::Office> office;
     std::unique_ptr<shared::Loans> loans;
     std::unique_ptr<Gateway> gateway;
@@ -240,8 +277,14 @@
     for (auto& gate : gates_)
       if (gate->office) held += double(gate->office->tree().root().held);
       else held += double(gate->commands.size() - std::min(gate->commands.size(), gate->out.size()));
-    for (auto& engine : engines_)
-      busy += std::min(engine->model.threads(), scene_.fleet.kind.cores), cores += scene_.fleet.kind.cores;
+    for (auto& engine : engines_) {
+      Engine& model = engine->model;
+      double uses = std::min(model.threads(), scene_.fleet.kind.cores);
+      busy += uses, cores += scene_.fleet.kind.cores;
+      if (now_ >= scene_.from && model.up) record_.load.push_back(model.threads() / scene_.fleet.kind.cores);
+      if (!model.up || !model.startedAt || now_ > *model.startedAt + scene_.fleet.coldTime) continue;
+      record_.coldAble += model.cores(now_), record_.coldBusy += std::min(uses, model.cores(now_));
+    }
     second().held = held, second().busy = busy / cores;
     events_.at(now_ + 1, [this] { sample(); });
   }
@@ -318,10 +361,14 @@
   }
 
   // --- engines
-  NodeRow rowOf(uint32_t node, NodeState state) const {
-    const auto& zones = scene_.fleet.zones;
-    return {node,  zones[node % zones.size()],     scene_.fleet.kind.name, 0,
-            state, engines_[node]->model.startedAt};
+  const std::string& zoneOf(uint32_t node) const {
+    return scene_.fleet.zones[node % scene_.fleet.zones.size()];
+  }
+  Listing listingOf(uint32_t node, NodeState state) const {
+    Listing listing;
+    listing.row = {node, zoneOf(node), scene_.fleet.kind.name, 0, state, {}};
+    if (auto start = engines_[node]->model.startedAt) listing.bornMs = std::llround(*start * 1000);
+    return listing;
   }
   void go(Gate& gate, uint64_t number, int priority) {
     events_.at(now_ + scene_.fleet.delay, [this, &gate, number, priority] {
@@ -356,9 +403,12 @@
         auto place = places_.extract(one.send);
         if (place.empty() || engines_[node]->model.silent) continue;
         Gate* gate = place.mapped();
-        events_.at(now_ + scene_.fleet.delay, [gate, one] {
+        const Engine& model = engines_[node]->model;
+        double used = std::min(1.0, model.threads() / scene_.fleet.kind.cores);
+        Report report{double(model.running()), {}, used, {}, {}};
+        events_.at(now_ + scene_.fleet.delay, [this, gate, one, report] {
           Bill bill{one.work, one.memoryMb};
-          gate->over(one.send, Outcome::answered, &bill);
+          gate->over(one.send, Outcome::answered, &bill, scene_.fleet.reports ? &report : nullptr);
         });
       }
       wakeMachine(node);
@@ -373,11 +423,14 @@
       engines_[node]->model.rank(now_, send, priority), wakeMachine(node);
     });
   }
-  void list(uint32_t node, NodeState state, double lag) {
-    events_.at(now_ + lag, [this, node, state] {
+  void list(const std::vector<uint32_t>& nodes, NodeState state, double lag) {
+    events_.at(now_ + lag, [this, nodes, state] {
+      ListEvent event;
+      for (uint32_t node : nodes) event.rows.push_back(listingOf(node, state));
       for (auto& gate : gates_) {
-        mark(state == NodeState::inService ? Mark::told : Mark::drained, *gate, 0, node);
-        gate->tell([&] { gate->gateway->list(ListKind::changes, {rowOf(node, state)}); });
+        for (uint32_t node : nodes)
+          mark(state == NodeState::inService ? Mark::told : Mark::drained, *gate, 0, node);
+        gate->hear(event);
       }
     });
   }
@@ -388,39 +441,68 @@
     if (trouble.at + trouble.lasts < scene_.lasts)
       events_.at(trouble.at + trouble.lasts, [this, &trouble] { end(trouble); });
   }
-  void each(const Trouble& trouble, const std::function<void(uint32_t)>& what) {
-    auto count = uint32_t(std::ceil(trouble.part * double(engines_.size()) - 1e-9));
-    for (uint32_t node = 0; node < count; ++node) what(node), wakeMachine(node);
+  std::vector<uint32_t> nodesOf(const Trouble& trouble) const {
+    std::vector<uint32_t> nodes;
+    for (uint32_t node = 0; node < engines_.size(); ++node)
+      if (trouble.zone.empty() || trouble.zone == zoneOf(node)) nodes.push_back(node);
+    nodes.resize(size_t(std::ceil(trouble.part * double(nodes.size()) - 1e-9)));
+    return nodes;
+  }
+  void stop(const std::vector<uint32_t>& nodes) {  // their processes end
+    for (uint32_t node : nodes) {
+      for (auto& one : engines_[node]->model.stop(now_))
+        if (auto place = places_.extract(one.send); !place.empty())
+          events_.at(now_ + scene_.fleet.delay,
+                     [gate = place.mapped(), send = one.send] { gate->over(send, Outcome::reset); });
+      wakeMachine(node);
+    }
+    list(nodes, NodeState::gone, scene_.fleet.listLag);
+  }
+  void start(const std::vector<uint32_t>& nodes) {  // cold
+    for (uint32_t node : nodes) engines_[node]->model.start(now_, true), wakeMachine(node);
+    list(nodes, NodeState::inService, scene_.fleet.listLag);
+  }
+  // A part of them after the other is drained, ends and comes back cold.
+  void roll(const Trouble& trouble) {
+    constexpr double kGrace = 3, kDown = 1;  // seconds to finish what it has; until it starts again
+    auto nodes = nodesOf(trouble);
+    for (int step = 0; step < trouble.steps; ++step) {
+      auto at = [&](int i) { return nodes.begin() + long(nodes.size()) * i / trouble.steps; };
+      std::vector<uint32_t> its(at(step), at(step + 1));
+      double from = now_ + trouble.lasts * step / trouble.steps;
+      events_.at(from, [this, its] { list(its, NodeState::draining, 0); });
+      events_.at(from + kGrace, [this, its] { stop(its); });
+      events_.at(from + kGrace + scene_.fleet.listLag + kDown, [this, its] { start(its); });
+    }
   }
   void begin(const Trouble& trouble) {
-    each(trouble, [&](uint32_t node) {
+    if (trouble.kind == "roll") return roll(trouble);
+    auto nodes = nodesOf(trouble);
+    if (trouble.kind == "drain") list(nodes, NodeState::draining, 0);
+    if (trouble.kind == "lose") stop(nodes);
+    for (uint32_t node : nodes) {
       Engine& engine = engines_[node]->model;
       if (trouble.kind == "slow") engine.slow(now_, trouble.times);
       if (trouble.kind == "silent") engine.silent = true;
       if (trouble.kind == "failing") engine.failing = true;
-      if (trouble.kind == "drain") list(node, NodeState::draining, 0);
-      if (trouble.kind != "lose") return;
-      for (auto& one : engine.stop(now_))
-        if (auto place = places_.extract(one.send); !place.empty())
-          events_.at(now_ + scene_.fleet.delay,
-                     [gate = place.mapped(), send = one.send] { gate->over(send, Outcome::reset); });
-      list(node, NodeState::gone, scene_.fleet.listLag);
-    });
+      wakeMachine(node);
+    }
     for (auto& gate : gates_) {
       if (trouble.kind == "reload" && gate->office && trouble.plan)
         gate->tell([&] { gate->office->change(*trouble.plan); });
     }
   }
   void end(const Trouble& trouble) {
-    each(trouble, [&](uint32_t node) {
+    auto nodes = nodesOf(trouble);
+    if (trouble.kind == "lose") start(nodes);
+    if (trouble.kind == "drain") list(nodes, NodeState::inService, 0);
+    for (uint32_t node : nodes) {
       Engine& engine = engines_[node]->model;
       if (trouble.kind == "slow") engine.slow(now_, 1);
       if (trouble.kind == "silent") engine.silent = false;
       if (trouble.kind == "failing") engine.failing = false;
-      if (trouble.kind == "lose") engine.start(now_, true);
-      if (trouble.kind == "lose" || trouble.kind == "drain")
-        list(node, NodeState::inService, trouble.kind == "lose" ? scene_.fleet.listLag : 0);
-    });
+      wakeMachine(node);
+    }
   }
 
   struct Again {
@@ -447,6 +529,7 @@
 Variant variantNamed(const std::string& name) {
   if (name == "plain") return {name, Deciding::module, false, true};
   if (name == "apart") return {name, Deciding::module, true, true, false};
+  if (name == "whole") return {name, Deciding::module, true, true, true, false};
   if (name == "calm") return {name, Deciding::module, true, false};
   if (name == "random") return {name, Deciding::random, false, true};
   if (name == "fifo") return {name, Deciding::fifo, false, true};
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -10,9 +10,9 @@
 struct Variant {
   std::string name;
   Deciding deciding = Deciding::module;
-  bool budgets = true, bursts = true, sharing = true;
+  bool budgets = true, bursts = true, sharing = true, view = true;
 };
-Variant variantNamed(const std::string& name);  // plain, apart, calm, random, fifo
+Variant variantNamed(const std::string& name);  // plain, apart, whole, calm, random, fifo
 
 Record play(const Scenario& scene, uint64_t seed, const Variant& variant);
 
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -1,6 +1,8 @@
 // The laboratory: its engine model, its checkers (which must be able to find something), its repeatability.
 #include <doctest/doctest.h>
 
+#include <map>
+
 #include "lab/engine.h"
 #include "lab/report.h"
 #include "lab/world.h"
@@ -129,3 +131,29 @@
   std::string path = std::string(SCENARIOS) + "../../build-none.json";
   CHECK_THROWS_AS(readScenario(path), Faults);
 }
+
+TEST_CASE("a view bounds who uses an engine; a zone alone is lost, and a roll replaces its part in steps") {
+  Scenario scene = readScenario(std::string(SCENARIOS) + "view-small.json");
+  scene.lasts = 12, scene.troubles.clear(), scene.view->users = scene.view->mostUsers = 4;
+  auto mostUsers = [&](const char* variant) {
+    return figuresOf(scene, play(scene, 1, variantNamed(variant))).at("engines.users.most");
+  };
+  CHECK_LE(mostUsers(""), scene.view->users);
+  CHECK_GT(mostUsers("whole"), scene.view->users);
+  auto told = [&](Mark mark) {  // engines, by one gateway
+    std::map<uint32_t, int> times;
+    Record record = play(scene, 1, variantNamed(""));
+    CHECK_EQ(brokenRules(scene, record).size(), 0);
+    for (auto& row : record.rows)
+      if (row.mark == mark && row.gateway == 5) ++times[row.node];
+    return times;
+  };
+  Trouble lost{"lose", 3, 3, "", 1, 1, {}};
+  lost.zone = "z3", scene.troubles = {lost};
+  auto nodes = told(Mark::drained);
+  CHECK_EQ(nodes.size(), 28);
+  for (auto& [node, times] : nodes) CHECK_EQ(node % 16, 3);
+  Trouble roll{"roll", 1, 4, "", 1, 0.3, {}};
+  roll.steps = 4, scene.troubles = {roll};
+  CHECK_EQ(told(Mark::told).size(), 132);  // each once, when it came back
+}
