--- a/src/lab/capacity_page.cpp
+++ b/src/lab/capacity_page.cpp
@@ -32,6 +32,12 @@
   return variant.empty() ? name : name + ", " + variant;
 }
 
+std::string passed(const Figure& one) {
+  if (!one.limit || one.ys.empty()) return "-";
+  if (auto at = one.passedAt()) return (one.ys.front() > *one.limit ? "at or below " : "") + shortly(*at);
+  return "above " + shortly(one.xs.back());  // and no fit tells where
+}
+
 std::string rowOf(const Figure& one) {
   std::ostringstream row;
   row << "| " << nameOf(one.name, one.variant) << " (" << one.unit << ") | " << one.xName << " | ";
@@ -42,7 +48,7 @@
     row << shortly(*one.target) << ": " << shortly(one.atTarget())
         << (one.measuredAtTarget() ? "" : " (fitted)");
   else row << "-";
-  row << " | " << shortly(one.limit) << " | " << shortly(one.passedAt()) << " |\n";
+  row << " | " << shortly(one.limit) << " | " << passed(one) << " |\n";
   return row.str();
 }
 
--- a/src/lab/capacity_page.h
+++ b/src/lab/capacity_page.h
@@ -1,5 +1,5 @@
-// The page of capacity: between `<!-- scale: NAME ... -->` and `<!-- /scale -->` stands a table of the figures whose
-// names begin so, made from figures files.
+// The page of capacity: between `<!-- scale: NAME ... -->` and `<!-- /scale -->` stands a table of the
+// figures whose names begin so, made from figures files.
 #pragma once
 #include <optional>
 #include <string>
--- a/src/lab/figures_file.h
+++ b/src/lab/figures_file.h
@@ -1,5 +1,5 @@
-// What a scale run has found, as a JSON file: figures by size, how they grow, where their limits are passed. Whoever
-// makes figures (the scale run, virtual time) writes this form; docs/CAPACITY.md is filled from it.
+// What a scale run has found, as a JSON file: figures by size, how they grow, where their limits are passed.
+// Whoever makes figures (the scale run, virtual time) writes this form; docs/CAPACITY.md is filled from it.
 #pragma once
 #include <optional>
 #include <string>
@@ -24,7 +24,8 @@
   // At the target: as measured there, or else as the fit has it; nothing where neither tells.
   std::optional<double> atTarget() const;
   bool measuredAtTarget() const;
-  // The size at which the limit is passed: between two sizes measured, or else where the fit has it. Nothing: at none.
+  // The size at which the limit is passed: between two sizes measured, or else where the fit has it. Nothing:
+  // at none.
   std::optional<double> passedAt() const;
 };
 
--- a/src/lab/fit.h
+++ b/src/lab/fit.h
@@ -5,8 +5,8 @@
 
 namespace elmcleat::lab {
 
-// Line: y = a + b x. Power: y = a x^b. `residual`: root mean square of what is left, of the line over the mean of |y|,
-// of the power of the logarithms (0.1 is a tenth either way); `r2` in the same terms.
+// Line: y = a + b x. Power: y = a x^b. `residual`: root mean square of what is left, of the line over the
+// mean of |y|, of the power of the logarithms (0.1 is a tenth either way); `r2` in the same terms.
 struct Fit {
   double a = 0, b = 0, r2 = 0, residual = 0;
 };
--- a/src/lab/hollow.h
+++ b/src/lab/hollow.h
@@ -1,6 +1,6 @@
-// Hollow processes of a scale run: what only has to be there, many in one process, beside the real dispatchers. Each is
-// a child of the tool that ends with it; it is told by lines through a socket, and writes its counts into memory that
-// both share.
+// Hollow processes of a scale run: what only has to be there, many in one process, beside the real
+// dispatchers. Each is a child of the tool that ends with it; it is told by lines through a socket, and
+// writes its counts into memory that both share.
 #pragma once
 #include <signal.h>
 #include <sys/mman.h>
@@ -59,8 +59,8 @@
 // Makes this process, a child just forked, end with its parent and at the latest after so many seconds.
 void endWith(pid_t parent, unsigned seconds);
 
-// --- engines: all addresses from kFirstEngine on, at one port. Orders: "work S", "gone ZONE ZONES 0|1" (engines of a
-// zone break off and refuse, or are there again).
+// --- engines: all addresses from kFirstEngine on, at one port. Orders: "work S", "gone ZONE ZONES 0|1"
+// (engines of a zone break off and refuse, or are there again).
 constexpr uint32_t kFirstEngine = 0x7fc00000;
 struct EngineCounts {
   std::atomic<uint64_t> commands, drops, accepted, open;
@@ -69,9 +69,10 @@
 };
 void serveEngines(int listener, int orders, EngineCounts& counts);
 
-// --- the change log. Orders: "speed TIMES" (of the day's changes), "silent 0|1", "zone Z ZONES STATE SECONDS" (a zone's
-// rows in twenty frames over so long), "row ID STATE". States as in records: 0 in service, 1 draining, 2 gone. A row
-// that is back in service has started just now. Who resumes from elsewhere than the last number is told the whole list.
+// --- the change log. Orders: "speed TIMES" (of the day's changes), "silent 0|1", "zone Z ZONES STATE
+// SECONDS" (a zone's rows in twenty frames over so long), "row ID STATE". States as in records: 0 in service,
+// 1 draining, 2 gone. A row that is back in service has started just now. Who resumes from elsewhere than the
+// last number is told the whole list.
 struct LogCounts {
   std::atomic<uint64_t> number, events, rows, bytesOut, bytesIn, followers, connects;
   std::atomic<double> toldAt;  // the last frame that was no heartbeat
@@ -83,8 +84,8 @@
 };
 void serveChangeLog(int listener, int orders, const LogPlan& plan, LogCounts& counts);
 
-// --- clients of one dispatcher. Orders: "idle N" (connections that ask /check each 6 s), "rate R TABLES" (commands a
-// second, open loop, over so many tables).
+// --- clients of one dispatcher. Orders: "idle N" (connections that ask /check each 6 s), "rate R TABLES"
+// (commands a second, open loop, over so many tables).
 struct ClientCounts {
   std::atomic<uint64_t> asked, answered, shed, failed, lost, wrong, checks, broken, idle;
   std::array<std::atomic<uint64_t>, 200> latency;  // by kLatencySteps an order of magnitude, from 10 us
--- a/src/lab/scale.h
+++ b/src/lab/scale.h
@@ -1,6 +1,6 @@
-// A scale run: real dispatchers beside hollow engines, a hollow change log and hollow clients, on loopback, at sizes
-// each some times the one before; figures by size. It keeps to its bounds while it runs, ends by itself, and leaves
-// nothing.
+// A scale run: real dispatchers beside hollow engines, a hollow change log and hollow clients, on loopback,
+// at sizes each some times the one before; figures by size. It keeps to its bounds while it runs, ends by
+// itself, and leaves nothing.
 #pragma once
 #include <map>
 #include <string>
@@ -11,7 +11,7 @@
 namespace elmcleat::lab {
 
 struct Step {
-  std::string what;
+  std::string what, name;  // `name`: of its figures
   double seconds = 3, rate = 100, work = 0.005, away = 4;
   int times = 4;
   std::vector<double> speeds{0, 1, 16};
@@ -23,8 +23,8 @@
   double settle = 2;
   std::vector<Step> steps;
 };
-struct
-    Expectation {  // of all values of a figure; of the exponent with which it grows from the least size to the greatest
+// Of all values of a figure; of the exponent with which it grows from the least size to the greatest.
+struct Expectation {
   std::string figure, variant;
   std::optional<double> least, most, leastExponent, mostExponent;
 };
--- a/src/lab/scale_plan.cpp
+++ b/src/lab/scale_plan.cpp
@@ -9,6 +9,7 @@
 Step readStep(const Section& row) {
   Step step;
   step.what = row.need<std::string>("do");
+  step.name = row.get<std::string>("name", step.what == "commands" ? "command" : step.what);
   step.seconds = row.get("seconds", step.seconds), step.rate = row.get("rate", step.rate);
   step.work = row.get("work", step.work), step.away = row.get("away", step.away);
   step.times = row.get("times", step.times);
--- a/src/lab/scale_trial.cpp
+++ b/src/lab/scale_trial.cpp
@@ -374,26 +374,29 @@
   for (size_t i = 0; i < real_.size(); ++i) {
     answered[i] += double(real_[i]->counts->answered);
     if (used[i] > kBusy)
-      found_.missing.push_back({"command.cpu", found_.variant,
+      found_.missing.push_back({step.name + ".cpu", found_.variant,
                                 "a dispatcher had no time left: its cost is not told", double(engines_)});
-    else if (answered[i] > 0) add("command.cpu", "us", (used[i] - idle[i]) * span / answered[i] * 1e6);
-    add("command.half", "ms", latencyAt(*real_[i]->counts, 0.5) * 1e3);
-    add("command.p99", "ms", latencyAt(*real_[i]->counts, 0.99) * 1e3);
+    else if (answered[i] > 0) add(step.name + ".cpu", "us", (used[i] - idle[i]) * span / answered[i] * 1e6);
+    add(step.name + ".cores", "cores", used[i]);
+    add(step.name + ".half", "ms", latencyAt(*real_[i]->counts, 0.5) * 1e3);
+    add(step.name + ".p99", "ms", latencyAt(*real_[i]->counts, 0.99) * 1e3);
   }
   asked = sum(&ClientCounts::asked) - asked;
-  add("command.shed", "of all", asked > 0 ? (sum(&ClientCounts::shed) - shed) / asked : 0);
-  add("count.engines.connected", "connections", openToEngines());
+  add(step.name + ".shed", "of all", asked > 0 ? (sum(&ClientCounts::shed) - shed) / asked : 0);
+  add("count." + step.name + ".connected", "connections", openToEngines());
   uint32_t most = 0, reached = 0;
   for (auto& one : servers_)
     for (auto& count : one->counts->connections) most = std::max<uint32_t>(most, count);
   for (auto& one : servers_)
     for (auto& count : one->counts->sends) reached += count > 0;
-  add("count.engines.reached", "engines", reached), add("count.engines.callers", "connections at one", most);
+  add("count." + step.name + ".engines", "engines", reached),
+      add("count." + step.name + ".callers", "connections at one", most);
   over();
-  add("command.lost", "commands", faulty() - bad);
+  add(step.name + ".lost", "commands", faulty() - bad);
 }
 
-// All commands are for one table, and so for one engine as long as it is warm: many tell well when the last was sent.
+// All commands are for one table, and so for one engine as long as it is warm: many tell well when the last
+// was sent.
 void Trial::drain(const Step& step) {
   load(step, 1);
   wait(1.5);
@@ -412,7 +415,7 @@
   }
   over();
   if (worst < 0) throw Faults({"drain: no engine that had commands until it was told"});
-  add("drain.last", "s", worst);
+  add(step.name + ".last", "s", worst);
 }
 
 void Trial::zone(const Step& step) {
@@ -420,23 +423,23 @@
   wait(1.5);
   auto base = cpu(std::min(step.seconds, 3.0));
   const std::string one = std::to_string(busiest() % kZones) + " " + std::to_string(kZones);
-  addEach("zone.before.cores", "cores", base);  // with the commands, as those that follow
+  addEach(step.name + ".before.cores", "cores", base);  // with the commands, as those that follow
   double bad = faulty(), shed = sum(&ClientCounts::shed), asked = sum(&ClientCounts::asked);
   tellEngines("gone " + one + " 1");
   changeLog_->tell("zone " + one + " 2 1");
-  addEach("zone.gone.cores", "cores", cpu(1));
-  addEach("zone.away.cores", "cores", worst(step.away));
+  addEach(step.name + ".gone.cores", "cores", cpu(1));
+  addEach(step.name + ".away.cores", "cores", worst(step.away));
   tellEngines("gone " + one + " 0");
   changeLog_->tell("zone " + one + " 0 1");
-  addEach("zone.back.cores", "cores", worst(step.seconds));
+  addEach(step.name + ".back.cores", "cores", worst(step.seconds));
   asked = sum(&ClientCounts::asked) - asked;
   over();
-  add("zone.lost", "commands", faulty() - bad);
-  add("zone.shed", "of all", asked > 0 ? (sum(&ClientCounts::shed) - shed) / asked : 0);
+  add(step.name + ".lost", "commands", faulty() - bad);
+  add(step.name + ".shed", "of all", asked > 0 ? (sum(&ClientCounts::shed) - shed) / asked : 0);
 }
 
-// While it is silent some engines begin to drain, a 64th of all: the whole list that follows is one that changes
-// something for each dispatcher.
+// While it is silent some engines begin to drain, a 64th of all: the whole list that follows is one that
+// changes something for each dispatcher.
 void Trial::silent(const Step& step) {
   changeLog_->tell("speed 1");
   changeLog_->tell("silent 1");
--- a/src/lab/scale_trial.h
+++ b/src/lab/scale_trial.h
@@ -1,4 +1,5 @@
-// One variant at one size: real dispatchers, and what is hollow round them; the steps that are measured there.
+// One variant at one size: real dispatchers, and what is hollow round them; the steps that are measured
+// there.
 #pragma once
 #include <memory>
 
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -1,4 +1,5 @@
-// The scale run's parts without its processes: fits, files, plans, the page, bounds. The run itself: test `scale`.
+// The scale run's parts without its processes: fits, files, plans, the page, bounds. The run itself: test
+// `scale`.
 #include "lab/scale.h"
 
 #include <doctest/doctest.h>
