--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,9 +13,9 @@
 #include "control/control.h"
 #include "runtime/log.h"
 #include "runtime/scheduler.h"
-#include "serve/desk.h"
+#include "serve/discovery.h"
+#include "serve/dispatcher.h"
 #include "serve/door.h"
-#include "serve/fleet.h"
 #include "view/view.h"
 
 namespace elmcleat {
@@ -43,37 +43,38 @@
 
 // What can change while commands and connections are in hand does: where the list is followed, the level of the
 // log, budgets. A file that can't be used changes nothing; each of the two stands for itself.
-void readAgain(const Options& options, Fleet& fleet, Desk& desk, const GatewayConfig& started) {
+void readAgain(const Options& options, Discovery& discovery, Dispatcher& dispatcher,
+               const GatewayConfig& started) {
   try {
     Config config = readConfig();
     Log::filter(options.level.value_or(config.log));
     info() << "configuration: read again";
-    fleet.follow(config.changeLog);
+    discovery.follow(config.changeLog);
   } catch (const std::exception& fault) { warn() << "configuration: the old one stays: " << fault.what(); }
   if (options.gateway.empty()) return;
   try {
     GatewayConfig own = ownConfig(options);
-    desk.change(own.budgets);
+    dispatcher.change(own.budgets);
     if (own.members.has_value() != started.members.has_value())
       warn() << "members: as they were: they are switched at a start alone";
     if (own.view != started.view) warn() << "view: as it was: it changes at a start alone";
   } catch (const std::exception& fault) { warn() << "gateway: the old one stays: " << fault.what(); }
 }
 
-Task heedSignals(const Options& options, const Descriptor& signals, Signal& signal, Fleet& fleet, Desk& desk,
-                 Door& door, const GatewayConfig& started) {
+Task heedSignals(const Options& options, const Descriptor& signals, Signal& signal, Discovery& discovery,
+                 Dispatcher& dispatcher, Door& door, const GatewayConfig& started) {
   for (signalfd_siginfo heard;;) {
     while (read(signals.fd(), &heard, sizeof heard) != sizeof heard) co_await signal;
-    if (heard.ssi_signo == SIGHUP) readAgain(options, fleet, desk, started);
+    if (heard.ssi_signo == SIGHUP) readAgain(options, discovery, dispatcher, started);
     else door.drain();
   }
 }
 
 // What may be used here of shared rates, fifty times a second: a grant of ours waits for this look (Control::heeded).
-void heedShared(Control& control, Desk& desk, Timer& again, const Clock& clock) {
+void heedShared(Control& control, Dispatcher& dispatcher, Timer& again, const Clock& clock) {
   again.set(clock.now() + 0.02);
   const Told* told = control.usable();
-  desk.share(told->usable, [&control, number = told->members.number](std::vector<double> wants) {
+  dispatcher.share(told->usable, [&control, number = told->members.number](std::vector<double> wants) {
     control.want(std::move(wants));
     control.heeded(number);
   });
@@ -115,17 +116,17 @@
     control = std::make_unique<Control>(clock, *own.members, config.name, config.seed, sharing);
   Signal signal(scheduler);
   Descriptor signals(scheduler, heeded, signal);
-  Desk desk(scheduler, config.settings, config.seed, own.budgets, local);
-  Fleet fleet(scheduler, config, desk, std::move(seen));
-  Door door(scheduler, config, desk);
-  fleet.evictBy([&door] { return door.evictIdle(); });
-  desk.start(fleet);
-  fleet.start(std::move(config.known));
+  Dispatcher dispatcher(scheduler, config.settings, config.seed, own.budgets, local);
+  Discovery discovery(scheduler, config, dispatcher, std::move(seen));
+  Door door(scheduler, config, dispatcher);
+  discovery.evictBy([&door] { return door.evictIdle(); });
+  dispatcher.start(discovery);
+  discovery.start(std::move(config.known));
   std::optional<Timer> look;
-  auto heed = [&] { heedShared(*control, desk, *look, clock); };
+  auto heed = [&] { heedShared(*control, dispatcher, *look, clock); };
   if (sharing) look.emplace(scheduler, heed), heed();  // in force before the first command is taken
   door.open();
-  Task heeding = heedSignals(options, signals, signal, fleet, desk, door, own);
+  Task heeding = heedSignals(options, signals, signal, discovery, dispatcher, door, own);
   heeding.start();
   if (control) control->watch(scheduler);
   info() << config.name << ": listens on " << textOf(config.listen);
--- a/src/serve/client.cpp
+++ b/src/serve/client.cpp
@@ -24,11 +24,11 @@
 
 }  // namespace
 
-Client::Client(Scheduler& scheduler, const Settings& settings, Desk& desk, MemoryBudget& hold, int fd,
-               bool full)
+Client::Client(Scheduler& scheduler, const Settings& settings, Dispatcher& dispatcher, MemoryBudget& hold,
+               int fd, bool full)
     : scheduler_(scheduler),
       settings_(settings),
-      desk_(desk),
+      dispatcher_(dispatcher),
       memory_(hold),
       signal_(scheduler),
       mailbox_(signal_),
@@ -41,7 +41,7 @@
 }
 
 Client::~Client() {
-  if (ticket_ && !answer_) desk_.withdraw(ticket_);
+  if (ticket_ && !answer_) dispatcher_.withdraw(ticket_);
   holds(0);
 }
 
@@ -140,7 +140,7 @@
     if (!stream_.open()) break;   // nobody is there to be answered
     if (over && !begun()) break;  // it rests: it is told that nothing more is read
     busy_ = asked_ = true;
-    bool now = true;  // answered without the desk
+    bool now = true;  // answered without the dispatcher
 
     // --- its answer
     std::string bytes;
@@ -204,7 +204,7 @@
   if (ticket_) {
     debug().with("command", ticket_->ask.id) << "client: has gone without an answer to " << ticket_->ask.id
                                              << ": " << nameOf(stream_.closeReason());
-    desk_.withdraw(std::exchange(ticket_, nullptr));
+    dispatcher_.withdraw(std::exchange(ticket_, nullptr));
   }
   busy_ = false;
   over_();
@@ -225,17 +225,17 @@
   if (!request.path.starts_with("/do/")) return problem(404, "unknown path", keepAlive);
   if (request.method == "DELETE") {  // the command's path: /do/PROFILE with its id as a header, or /do/ID
     auto* id = request.header("req-id");
-    if (desk_.withdraw(id ? *id : request.path.substr(request.path.rfind('/') + 1)))
+    if (dispatcher_.withdraw(id ? *id : request.path.substr(request.path.rfind('/') + 1)))
       return httpAnswer(200, "{}", keepAlive);
     return problem(404, "nothing in hand to withdraw", keepAlive);
   }
   if (request.method != "POST") return problem(405, "/do by " + request.method, keepAlive);
-  Reading reading = readAsk(std::move(request), settings_, cameAt_, desk_.actor());
+  Reading reading = readAsk(std::move(request), settings_, cameAt_, dispatcher_.actor());
   if (!reading.ask) return problem(reading.status, reading.why, keepAlive);
   ticket_ = std::make_shared<Ticket>();
   ticket_->ask = std::move(*reading.ask);
   ticket_->asker = this;
-  if (desk_.take(ticket_)) {
+  if (dispatcher_.take(ticket_)) {
     debug().with("command", ticket_->ask.id)
         << "client: takes " << ticket_->ask.id << ", " << ticket_->ask.profile << ", which waits "
         << ticket_->ask.endsAt - scheduler_.now() << " s";
--- a/src/serve/client.h
+++ b/src/serve/client.h
@@ -9,7 +9,7 @@
 #include "protocol/http.h"
 #include "runtime/mailbox.h"
 #include "runtime/stream.h"
-#include "serve/desk.h"
+#include "serve/dispatcher.h"
 
 namespace elmcleat {
 
@@ -21,7 +21,7 @@
 class Client final : public Asker {
  public:
   // `full`: too many have come, so its first request is turned away, harmlessly, and it is closed.
-  Client(Scheduler& scheduler, const Settings& settings, Desk& desk, MemoryBudget& hold, int fd,
+  Client(Scheduler& scheduler, const Settings& settings, Dispatcher& dispatcher, MemoryBudget& hold, int fd,
          bool full = false);
   ~Client() override;
   // Called when nothing is owed to it any more, and when the connection is over.
@@ -57,7 +57,7 @@
 
   Scheduler& scheduler_;
   const Settings& settings_;
-  Desk& desk_;
+  Dispatcher& dispatcher_;
   MemoryBudget& memory_;
   size_t held_ = 0;  // our part of it
   std::function<void()> done_, over_;
--- a/src/serve/fleet.cpp
+++ b/src/serve/discovery.cpp
@@ -1,4 +1,4 @@
-#include "serve/fleet.h"
+#include "serve/discovery.h"
 
 #include <algorithm>
 #include <cmath>
@@ -21,10 +21,11 @@
 
 }  // namespace
 
-Fleet::Fleet(Scheduler& scheduler, const Config& config, Desk& desk, std::unique_ptr<view::View> view)
+Discovery::Discovery(Scheduler& scheduler, const Config& config, Dispatcher& dispatcher,
+                     std::unique_ptr<view::View> view)
     : scheduler_(scheduler),
       config_(config),
-      desk_(desk),
+      dispatcher_(dispatcher),
       signal_(scheduler),
       mailbox_(signal_),
       timer_(scheduler, [this] { late_ = true, signal_.raise(); }),
@@ -34,14 +35,14 @@
       looks_(scheduler, [this] { look(); }),
       room_(std::max(config.sockets / 3, kLeastLinks)) {}
 
-void Fleet::start(std::vector<ListEvent> known) {
+void Discovery::start(std::vector<ListEvent> known) {
   for (auto& event : known) apply(std::move(event));
   known = {};
   task_ = run();
   task_.start();
 }
 
-void Fleet::follow(const Address& changeLog) {
+void Discovery::follow(const Address& changeLog) {
   mailbox_.post([this, changeLog] {
     if (changeLog == changeLog_) return;
     info() << "change log: moves to " << textOf(changeLog);
@@ -49,7 +50,7 @@
   });
 }
 
-Task Fleet::run() {
+Task Discovery::run() {
   auto within = [this](double span) { late_ = false, timer_.set(scheduler_.now() + span); };
   bool evicted = false;  // once for each try
   for (bool first = true;; first = false) {
@@ -90,7 +91,7 @@
 }
 
 // True if a frame came.
-bool Fleet::read(Stream& stream) {
+bool Discovery::read(Stream& stream) {
   bool any = false;
   do {
     stream.fill();
@@ -110,7 +111,7 @@
   return any;
 }
 
-void Fleet::apply(ListEvent event) {
+void Discovery::apply(ListEvent event) {
   last_ = event.number;
   if (!event.whole && event.rows.empty()) return;
   if (!view_) {
@@ -124,10 +125,10 @@
        event.whole ? "whole list" : "changes");
 }
 
-void Fleet::look() { heed(view_->tick(scheduler_.clock().unix(scheduler_.now())), "its own width"); }
+void Discovery::look() { heed(view_->tick(scheduler_.clock().unix(scheduler_.now())), "its own width"); }
 
 // What is out of view costs no line, actor, timer or row of the module.
-void Fleet::heed(std::vector<view::Change> changes, const char* why) {
+void Discovery::heed(std::vector<view::Change> changes, const char* why) {
   if (double at = view_->wakes(); at < HUGE_VAL)
     looks_.set(scheduler_.clock().fromUnix(int64_t(at * 1e3) + 1));
   else looks_.clear();
@@ -139,7 +140,7 @@
   use(std::move(changes), false);
 }
 
-void Fleet::use(std::vector<view::Change> changes, bool whole) {
+void Discovery::use(std::vector<view::Change> changes, bool whole) {
   std::set<uint32_t> named;
   std::vector<NodeRow> rows;
   for (auto& [listing, place] : changes) {
@@ -149,7 +150,7 @@
     named.insert(row.id);
     auto& engine = engines_[row.id];
     if (!engine)
-      engine = std::make_unique<Engine>(scheduler_, config_.links, desk_, row.id, linksEach_, room_);
+      engine = std::make_unique<Engine>(scheduler_, config_.links, dispatcher_, row.id, linksEach_, room_);
     if (row.state == NodeState::inService) engine->place(listing.address, row.startedAt);
     else engine->retire();
   }
@@ -159,41 +160,41 @@
   }
   // Clients hold a third of all descriptors at most; as many are for engines, and the last third is to spare.
   linksEach_ = std::max<size_t>(1, config_.sockets / 3 / std::max<size_t>(1, engines_.size()));
-  desk_.listed(whole ? ListKind::full : ListKind::changes, std::move(rows));
+  dispatcher_.listed(whole ? ListKind::full : ListKind::changes, std::move(rows));
 }
 
-// --- from the desk
-void Fleet::tell(uint32_t node, std::function<void(Engine&)> call) {
+// --- from the dispatcher
+void Discovery::tell(uint32_t node, std::function<void(Engine&)> call) {
   mailbox_.post([this, node, call = std::move(call)] {
     if (auto found = engines_.find(node); found != engines_.end()) call(*found->second);
   });
 }
 
-void Fleet::send(uint32_t node, std::shared_ptr<Ticket> ticket, double until) {
+void Discovery::send(uint32_t node, std::shared_ptr<Ticket> ticket, double until) {
   mailbox_.post([this, node, ticket = std::move(ticket), until] {
     if (auto found = engines_.find(node); found != engines_.end()) return found->second->send(ticket, until);
     // It has gone, and was forgotten, since the module decided.
-    desk_.ended(ticket, outcomeOf(CloseReason::replaced, false), 0, {}, {}, {});
+    dispatcher_.ended(ticket, outcomeOf(CloseReason::replaced, false), 0, {}, {}, {});
   });
 }
 
-void Fleet::reprioritise(uint32_t node, std::shared_ptr<Ticket> ticket) {
+void Discovery::reprioritise(uint32_t node, std::shared_ptr<Ticket> ticket) {
   tell(node, [ticket = std::move(ticket)](Engine& engine) { engine.reprioritise(ticket); });
 }
 
-void Fleet::cancel(uint32_t node, std::shared_ptr<Ticket> ticket) {
+void Discovery::cancel(uint32_t node, std::shared_ptr<Ticket> ticket) {
   tell(node, [ticket = std::move(ticket)](Engine& engine) { engine.cancel(ticket); });
 }
 
-void Fleet::withdraw(uint32_t node, std::shared_ptr<Ticket> ticket) {
+void Discovery::withdraw(uint32_t node, std::shared_ptr<Ticket> ticket) {
   tell(node, [ticket = std::move(ticket)](Engine& engine) { engine.withdraw(ticket); });
 }
 
-void Fleet::shorten(uint32_t node, std::shared_ptr<Ticket> ticket) {
+void Discovery::shorten(uint32_t node, std::shared_ptr<Ticket> ticket) {
   tell(node, [ticket = std::move(ticket)](Engine& engine) { engine.shorten(ticket); });
 }
 
-void Fleet::rests(uint32_t node, bool is) {
+void Discovery::rests(uint32_t node, bool is) {
   if (!view_) return;
   mailbox_.post([this, node, is] {
     view_->rests(node, is);
@@ -201,7 +202,7 @@
   });
 }
 
-void Fleet::probe(uint32_t node) {
+void Discovery::probe(uint32_t node) {
   tell(node, [](Engine& engine) { engine.probe(); });
 }
 
--- a/src/serve/fleet.h
+++ b/src/serve/discovery.h
@@ -7,16 +7,17 @@
 #include "config/config.h"
 #include "runtime/mailbox.h"
 #include "runtime/stream.h"
-#include "serve/desk.h"
+#include "serve/dispatcher.h"
 #include "serve/engine.h"
 #include "view/view.h"
 
 namespace elmcleat {
 
-class Fleet final : public Engines {
+class Discovery final : public Engines {
  public:
   // With a view, only the engines in it are used; without one all are.
-  Fleet(Scheduler& scheduler, const Config& config, Desk& desk, std::unique_ptr<view::View> view = nullptr);
+  Discovery(Scheduler& scheduler, const Config& config, Dispatcher& dispatcher,
+            std::unique_ptr<view::View> view = nullptr);
   void start(std::vector<ListEvent> known);  // then the change log is followed
   // Who can do without a descriptor when the system has none for the change log, or for an engine.
   void evictBy(std::function<bool()> evict) { room_.evict = std::move(evict); }
@@ -41,7 +42,7 @@
 
   Scheduler& scheduler_;
   const Config& config_;
-  Desk& desk_;
+  Dispatcher& dispatcher_;
   Signal signal_;
   Mailbox mailbox_;
   Timer timer_;
--- a/src/serve/desk.cpp
+++ b/src/serve/dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "serve/desk.h"
+#include "serve/dispatcher.h"
 
 #include <algorithm>
 #include <utility>
@@ -8,8 +8,8 @@
 
 namespace elmcleat {
 
-Desk::Desk(Scheduler& scheduler, const Settings& settings, uint64_t seed,
-           const std::optional<budget::Plan>& plan, const std::optional<Settings>& local)
+Dispatcher::Dispatcher(Scheduler& scheduler, const Settings& settings, uint64_t seed,
+                       const std::optional<budget::Plan>& plan, const std::optional<Settings>& local)
     : scheduler_(scheduler),
       signal_(scheduler),
       mailbox_(signal_),
@@ -19,13 +19,13 @@
   if (plan) actor_ = lower(plan->actor);
 }
 
-void Desk::start(Engines& engines) {
+void Dispatcher::start(Engines& engines) {
   engines_ = &engines;
   task_ = run();
   task_.start();
 }
 
-Task Desk::run() {
+Task Dispatcher::run() {
   while (true) {
     co_await signal_;
     gateway_->at(scheduler_.now());
@@ -36,7 +36,7 @@
 }
 
 // --- from a front door
-bool Desk::take(const std::shared_ptr<Ticket>& ticket) {
+bool Dispatcher::take(const std::shared_ptr<Ticket>& ticket) {
   if (!ids_.emplace(ticket->ask.id, ticket).second) return false;
   mailbox_.post([this, ticket] {
     Ask& ask = ticket->ask;
@@ -50,7 +50,7 @@
 }
 
 // The asker is forgotten at once, as it may not outlive this call; the module hears of it in its turn.
-void Desk::withdraw(const std::shared_ptr<Ticket>& ticket) {
+void Dispatcher::withdraw(const std::shared_ptr<Ticket>& ticket) {
   ticket->asker = nullptr;
   mailbox_.post([this, ticket] {
     if (std::exchange(ticket->over, true)) return;
@@ -60,7 +60,7 @@
   });
 }
 
-bool Desk::withdraw(const std::string& id) {
+bool Dispatcher::withdraw(const std::string& id) {
   auto found = ids_.find(id);
   if (found == ids_.end() || found->second->over) return false;
   auto ticket = found->second;
@@ -69,7 +69,7 @@
   return true;
 }
 
-void Desk::drain(double by) {
+void Dispatcher::drain(double by) {
   mailbox_.post([this, by] {
     drainsBy_ = by;
     for (auto& [command, ticket] : tickets_) {
@@ -82,7 +82,7 @@
 }
 
 // Budgets may change, not come and go: what is held stands in one order or the other.
-void Desk::change(const std::optional<budget::Plan>& plan) {
+void Dispatcher::change(const std::optional<budget::Plan>& plan) {
   if (plan.has_value() != (budgets_ != nullptr)) {
     warn() << "budgets: the old ones stay: they can't be switched on or off without a restart";
   } else if (plan && budgets_->shares() &&
@@ -96,7 +96,7 @@
   }
 }
 
-void Desk::share(std::vector<shared::Usable> usable, std::function<void(std::vector<double>)> heeded) {
+void Dispatcher::share(std::vector<shared::Usable> usable, std::function<void(std::vector<double>)> heeded) {
   mailbox_.post([this, usable = std::move(usable), heeded = std::move(heeded)]() mutable {
     budgets_->share(std::move(usable));
     heeded(budgets_->wants());
@@ -104,8 +104,9 @@
 }
 
 // --- from engines and the list
-void Desk::ended(const std::shared_ptr<Ticket>& ticket, Outcome what, double took, std::optional<Bill> bill,
-                 std::optional<Report> report, std::optional<std::string> rows) {
+void Dispatcher::ended(const std::shared_ptr<Ticket>& ticket, Outcome what, double took,
+                       std::optional<Bill> bill, std::optional<Report> report,
+                       std::optional<std::string> rows) {
   mailbox_.post([this, ticket, what, took, bill, report, rows = std::move(rows)]() mutable {
     ticket->out = false;
     out_.erase(ticket->command.get());
@@ -118,22 +119,22 @@
   });
 }
 
-void Desk::noted(const std::shared_ptr<Ticket>& ticket, Topic topic, double level) {
+void Dispatcher::noted(const std::shared_ptr<Ticket>& ticket, Topic topic, double level) {
   mailbox_.post([ticket, topic, level] {
     if (ticket->out) ticket->command->note(topic, level);
   });
 }
 
-void Desk::probed(uint32_t node, Outcome what, std::optional<Report> report) {
+void Dispatcher::probed(uint32_t node, Outcome what, std::optional<Report> report) {
   mailbox_.post([this, node, what, report] { gateway_->probed(node, what, report ? &*report : nullptr); });
 }
 
-void Desk::listed(ListKind kind, std::vector<NodeRow> rows) {
+void Dispatcher::listed(ListKind kind, std::vector<NodeRow> rows) {
   mailbox_.post([this, kind, rows = std::move(rows)] { gateway_->list(kind, rows); });
 }
 
 // --- what the module wants
-void Desk::send(Command& command, uint32_t node, double timeout, double beginBy) {
+void Dispatcher::send(Command& command, uint32_t node, double timeout, double beginBy) {
   auto ticket = ticketOf(command);
   double end = ticket->ask.answerBy(), now = scheduler_.now();
   ticket->out = true, ticket->beginBy = beginBy;
@@ -141,38 +142,38 @@
   engines_->send(node, ticket, timeout > 0 ? std::min(now + timeout, end) : end);
 }
 
-void Desk::terms(Command& command, int priority, double) {
+void Dispatcher::terms(Command& command, int priority, double) {
   auto ticket = ticketOf(command);
   ticket->priority = priority;  // the lines spoken with engines have no word for a memory grant
   if (ticket->out) engines_->reprioritise(out_.at(&command), ticket);
 }
 
-void Desk::cancel(Command& command, int) {
+void Dispatcher::cancel(Command& command, int) {
   auto ticket = ticketOf(command);
   if (ticket->out) engines_->cancel(out_.at(&command), ticket);
 }
 
-void Desk::shed(Command& command, double retryAfter) {
+void Dispatcher::shed(Command& command, double retryAfter) {
   if (budgets_ && budgets_->tree().plan().tellWaits)  // what it would be told if it came again now
     retryAfter = std::max(retryAfter, budgets_->again(command).nine);
   answer(*ticketOf(command), {Answer::Kind::shed, {}, retryAfter});
 }
 
-void Desk::fail(Command& command) { answer(*ticketOf(command), {Answer::Kind::failed, {}, 0}); }
+void Dispatcher::fail(Command& command) { answer(*ticketOf(command), {Answer::Kind::failed, {}, 0}); }
 
-void Desk::probe(uint32_t node) { engines_->probe(node); }
+void Dispatcher::probe(uint32_t node) { engines_->probe(node); }
 
-void Desk::log(const std::string& line) { info() << "module: " << line; }
+void Dispatcher::log(const std::string& line) { info() << "module: " << line; }
 
 // --- ends
-void Desk::answer(Ticket& ticket, Answer answer) {
+void Dispatcher::answer(Ticket& ticket, Answer answer) {
   if (!std::exchange(ticket.over, true)) overNow_.push_back(ticketOf(*ticket.command));
   if (Asker* asker = std::exchange(ticket.asker, nullptr)) asker->answer(std::move(answer));
 }
 
 // Forgets a command that is over and has nothing out. Until then its id stays taken: under it engines and we
 // would mistake one send for the other.
-void Desk::sweep(const std::shared_ptr<Ticket>& ticket) {
+void Dispatcher::sweep(const std::shared_ptr<Ticket>& ticket) {
   if (ticket->over && !ticket->out && tickets_.erase(ticket->command.get())) ids_.erase(ticket->ask.id);
 }
 
--- a/src/serve/desk.h
+++ b/src/serve/dispatcher.h
@@ -1,4 +1,4 @@
-// The desk: the module's actor. All that happens is posted here; a batch is at(now), the mailbox drained,
+// The dispatcher: the module's actor. All that happens is posted here; a batch is at(now), the mailbox drained,
 // settle() once. What the module then wants done goes straight to the engines and the askers. Every protocol
 // that clients speak goes through take(), withdraw() and Asker.
 #pragma once
@@ -30,12 +30,12 @@
   virtual void rests(uint32_t node, bool is) = 0;  // the module has found it unfit, or fit again
 };
 
-class Desk final : public Outlet {
+class Dispatcher final : public Outlet {
  public:
   // With a plan, budgets stand over the module's turns; without one it decides alone. `local`: what the module is told
   // of its part of the fleet, where it sees a part alone; budgets are divided by all gateways in any case.
-  Desk(Scheduler& scheduler, const Settings& settings, uint64_t seed,
-       const std::optional<budget::Plan>& plan = {}, const std::optional<Settings>& local = {});
+  Dispatcher(Scheduler& scheduler, const Settings& settings, uint64_t seed,
+             const std::optional<budget::Plan>& plan = {}, const std::optional<Settings>& local = {});
   void start(Engines& engines);
 
   // From a front door. False: a command with this id is in hand.
--- a/src/serve/door.cpp
+++ b/src/serve/door.cpp
@@ -36,10 +36,10 @@
 
 }  // namespace
 
-Door::Door(Scheduler& scheduler, const Config& config, Desk& desk)
+Door::Door(Scheduler& scheduler, const Config& config, Dispatcher& dispatcher)
     : scheduler_(scheduler),
       config_(config),
-      desk_(desk),
+      dispatcher_(dispatcher),
       most_(mostClients(config.sockets)),
       memory_{config.memoryMb * (1 << 20) / 4},
       signal_(scheduler),
@@ -63,7 +63,7 @@
   double longest = 0;
   for (auto& profile : config_.settings.profiles) longest = std::max(longest, profile.clientTimeout);
   if (longest <= 0) longest = kLongest;  // the settings name none
-  desk_.drain(scheduler_.now() + kComing + std::min(longest, kLongest) - kSpare);
+  dispatcher_.drain(scheduler_.now() + kComing + std::min(longest, kLongest) - kSpare);
 }
 
 // Whoever connected in time is in the listener's queue, which ends with it.
@@ -114,7 +114,7 @@
 
 // The first read is made at once, before the next connection is accepted.
 void Door::admit(int fd, bool full) {
-  auto client = std::make_shared<Client>(scheduler_, config_.settings, desk_, memory_, fd, full);
+  auto client = std::make_shared<Client>(scheduler_, config_.settings, dispatcher_, memory_, fd, full);
   Client* who = client.get();
   who->tell([this] { endIfDone(); }, [this, who] { over(who); });
   clients_.emplace(who, std::move(client));
--- a/src/serve/door.h
+++ b/src/serve/door.h
@@ -10,7 +10,7 @@
 
 class Door {
  public:
-  Door(Scheduler& scheduler, const Config& config, Desk& desk);
+  Door(Scheduler& scheduler, const Config& config, Dispatcher& dispatcher);
   void open();
   bool evictIdle();  // closes the connection that is least likely to ask; false: there is none
   // Graceful shutdown: accepts and serves on for as long as clients may come, and ends the scheduler when all is
@@ -27,7 +27,7 @@
 
   Scheduler& scheduler_;
   const Config& config_;
-  Desk& desk_;
+  Dispatcher& dispatcher_;
   const size_t most_;  // connections of clients
   MemoryBudget memory_;
   Signal signal_;
--- a/src/serve/engine.cpp
+++ b/src/serve/engine.cpp
@@ -21,11 +21,11 @@
       timer(scheduler, std::move(late)),
       rest(scheduler, [this, &signal] { stream.end(CloseReason::cutShort), signal.raise(); }) {}
 
-Engine::Engine(Scheduler& scheduler, const LinkSettings& settings, Desk& desk, uint32_t id,
+Engine::Engine(Scheduler& scheduler, const LinkSettings& settings, Dispatcher& dispatcher, uint32_t id,
                const size_t& most, LinkRoom& room)
     : scheduler_(scheduler),
       settings_(settings),
-      desk_(desk),
+      dispatcher_(dispatcher),
       id_(id),
       most_(most),
       room_(room),
@@ -88,10 +88,10 @@
   }
 }
 
-// --- from the desk
+// --- from the dispatcher
 void Engine::send(std::shared_ptr<Ticket> ticket, double until) {
   mailbox_.post([this, ticket = std::move(ticket), until] {
-    if (retired_) return desk_.ended(ticket, outcomeOf(CloseReason::replaced, false), 0, {}, {}, {});
+    if (retired_) return dispatcher_.ended(ticket, outcomeOf(CloseReason::replaced, false), 0, {}, {}, {});
     double now = scheduler_.now();
     // Notes on every send come at a set pace: where two of them fail to come, the engine is cut off or gone.
     if (settings_.noteEvery > 0 && sends_ > 0 && now > quietSince_ + 2 * settings_.noteEvery) doubt();
@@ -100,7 +100,8 @@
 }
 
 void Engine::begin(std::shared_ptr<Ticket> ticket, double until) {
-  if (!mayBegin(*ticket)) return desk_.ended(ticket, outcomeOf(CloseReason::timedOut, false), 0, {}, {}, {});
+  if (!mayBegin(*ticket))
+    return dispatcher_.ended(ticket, outcomeOf(CloseReason::timedOut, false), 0, {}, {}, {});
   Link* link = linkFor(*ticket);
   if (!link) {  // it waits for a connection, at most until its time is up
     auto& one = waiting_.emplace_back(std::make_unique<Waiting>(
@@ -134,7 +135,7 @@
   if (found == waiting_.end()) return;
   auto kept = std::move(*found);  // the call may come from its timer
   waiting_.erase(found);
-  desk_.ended(kept->ticket, outcomeOf(ending, false), 0, {}, {}, {});
+  dispatcher_.ended(kept->ticket, outcomeOf(ending, false), 0, {}, {}, {});
 }
 
 // The client is looked at in the last moment: a wake after a stop may find its end beside what lets its send begin.
@@ -217,9 +218,9 @@
 
 void Engine::probe() {
   mailbox_.post([this] {
-    if (retired_) return desk_.probed(id_, outcomeOf(CloseReason::replaced, false), {});
+    if (retired_) return dispatcher_.probed(id_, outcomeOf(CloseReason::replaced, false), {});
     Link* found = linkForProbe();
-    if (!found) return desk_.probed(id_, outcomeOf(CloseReason::noDescriptor, false), {});
+    if (!found) return dispatcher_.probed(id_, outcomeOf(CloseReason::noDescriptor, false), {});
     Link& link = *found;
     std::string tag(1, 'p');  // no id of a command begins so
     tag += std::to_string(++probes_);
@@ -227,7 +228,7 @@
     limit = std::make_unique<Timer>(scheduler_, [this, &link, tag] {
       link.probes.erase(tag);
       drop(link, tag);
-      desk_.probed(id_, Outcome::expired, {});
+      dispatcher_.probed(id_, Outcome::expired, {});
       rest(link);
     });
     limit->set(scheduler_.now() + settings_.connectTimeout);
@@ -374,14 +375,15 @@
     bool begun = send.place && link.stream.begun(*send.place);
     finish(link, send, send.givenUp.value_or(outcomeOf(ending, begun)));
   }
-  for (size_t left = link.probes.size(); left > 0; --left) desk_.probed(id_, outcomeOf(ending, link.up), {});
+  for (size_t left = link.probes.size(); left > 0; --left)
+    dispatcher_.probed(id_, outcomeOf(ending, link.up), {});
 }
 
 // --- answers
 void Engine::heed(Link& link, EngineAnswer& answer) {
   if (auto probe = link.probes.find(answer.id); probe != link.probes.end()) {
     link.probes.erase(probe);
-    desk_.probed(id_, outcomeOf(answer.word), answer.report);
+    dispatcher_.probed(id_, outcomeOf(answer.word), answer.report);
     return rest(link);
   }
   auto found = link.sends.find(answer.id);
@@ -396,7 +398,7 @@
   listen(send);
   switch (answer.word) {
     case Word::note:
-      if (answer.topic) desk_.noted(send.ticket, *answer.topic, answer.level);
+      if (answer.topic) dispatcher_.noted(send.ticket, *answer.topic, answer.level);
       return;
     case Word::answered:
     case Word::page:
@@ -482,7 +484,7 @@
         << name() << ": send of " << send.ticket->ask.id << " ended after " << took << " s";
     drop(link, send.ticket->ask.id);  // a further send of it goes elsewhere, should this answer have a copy
   }
-  desk_.ended(send.ticket, what, took, bill, report, std::move(rows));
+  dispatcher_.ended(send.ticket, what, took, bill, report, std::move(rows));
   rest(link);
 }
 
--- a/src/serve/engine.h
+++ b/src/serve/engine.h
@@ -12,7 +12,7 @@
 #include "runtime/mailbox.h"
 #include "runtime/stream.h"
 #include "serve/answer.h"
-#include "serve/desk.h"
+#include "serve/dispatcher.h"
 #include "serve/link_room.h"
 
 namespace elmcleat {
@@ -21,15 +21,15 @@
  public:
   // `most`: connections that it should do with; the fleet's number of engines decides, so it changes. `room`: those of
   // all engines together.
-  Engine(Scheduler& scheduler, const LinkSettings& settings, Desk& desk, uint32_t id, const size_t& most,
-         LinkRoom& room);
+  Engine(Scheduler& scheduler, const LinkSettings& settings, Dispatcher& dispatcher, uint32_t id,
+         const size_t& most, LinkRoom& room);
   ~Engine() { room_.forget(signal_); }
 
   // From the list. A start at another address or time is another process: what is connected is the old one.
   void place(const Address& address, std::optional<double> started);
   void retire();  // drains or gone: what runs there goes on, nothing new goes out
 
-  // From the desk.
+  // From the dispatcher.
   void send(std::shared_ptr<Ticket> ticket, double until);
   void reprioritise(std::shared_ptr<Ticket> ticket);
   void cancel(std::shared_ptr<Ticket> ticket);
@@ -41,7 +41,7 @@
 
  private:
   struct Link;
-  struct Send {  // a command's send, from the desk's word to its outcome
+  struct Send {  // a command's send, from the dispatcher's word to its outcome
     Send(Scheduler& scheduler, std::function<void()> due, std::function<void()> late)
         : deadline(scheduler, std::move(due)), unheard(scheduler, std::move(late)) {}
     std::shared_ptr<Ticket> ticket;
@@ -108,7 +108,7 @@
 
   Scheduler& scheduler_;
   const LinkSettings& settings_;
-  Desk& desk_;
+  Dispatcher& dispatcher_;
   uint32_t id_;
   const size_t& most_;
   LinkRoom& room_;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -13,7 +13,7 @@
 #include "serve/ask.h"
 #include "serve/client.h"
 #include "serve/close_reason.h"
-#include "serve/desk.h"
+#include "serve/dispatcher.h"
 #include "serve/door.h"
 #include "serve/engine.h"
 
@@ -163,11 +163,11 @@
 TEST_CASE("a client whose request has come does not give way, however often it is asked") {
   Loop loop;
   Settings settings;
-  Desk desk(loop.scheduler, settings, 1);
+  Dispatcher dispatcher(loop.scheduler, settings, 1);
   int ends[2];
   REQUIRE_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
   MemoryBudget hold{1 << 20};
-  Client client(loop.scheduler, settings, desk, hold, ends[0]);
+  Client client(loop.scheduler, settings, dispatcher, hold, ends[0]);
   client.tell([] {}, [] {});
   client.start();
   REQUIRE_EQ(::write(ends[1], "GET /check HTTP/1.1\r\n\r\n", 23), 23);
@@ -189,7 +189,7 @@
 
 // An engine with a command that goes to it, and the listener that stands for its machine.
 struct OneEngine {
-  OneEngine() : listener(::socket(AF_INET, SOCK_STREAM, 0)), desk(loop.scheduler, settings, 1), room(8) {
+  OneEngine() : listener(::socket(AF_INET, SOCK_STREAM, 0)), dispatcher(loop.scheduler, settings, 1), room(8) {
     sockaddr_in native{};
     native.sin_family = AF_INET, native.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof native;
@@ -211,10 +211,10 @@
   Settings settings;
   LinkSettings links;
   int listener, peer = -1;
-  Desk desk;
+  Dispatcher dispatcher;
   size_t most = 1;
   LinkRoom room;
-  Engine engine{loop.scheduler, links, desk, 7, most, room};
+  Engine engine{loop.scheduler, links, dispatcher, 7, most, room};
   Waits client;
   std::shared_ptr<Ticket> ticket = std::make_shared<Ticket>();
 };
@@ -269,8 +269,8 @@
   ::getsockname(probe, reinterpret_cast<sockaddr*>(&native), &size);
   ::close(probe);
   config.listen = {INADDR_LOOPBACK, ntohs(native.sin_port)}, config.sockets = 96, config.memoryMb = 192;
-  Desk desk(loop.scheduler, config.settings, 1);
-  Door door(loop.scheduler, config, desk);
+  Dispatcher dispatcher(loop.scheduler, config.settings, 1);
+  Door door(loop.scheduler, config, dispatcher);
   door.open();
   std::vector<int> stampede;
   for (int i = 0; i < 300; ++i) {
