--- a/bench/view_bench.cpp
+++ b/bench/view_bench.cpp
@@ -1,8 +1,9 @@
-// Which engines a dispatcher uses: four ways compared, the load of engines by the number of their users, and what the view
-// costs at the target. Prints Markdown tables; takes two minutes or so; with any argument what it costs alone, seconds.
+// Which engines a dispatcher uses: four ways compared, the load of engines by the number of their users, and
+// what the view costs at the target. Prints Markdown tables; takes two minutes or so; with any argument the
+// costs alone.
 //   rendezvous  an engine is used by the first k of all dispatchers in an order of its own (src/view)
-//   rounds      the list is shuffled by round; the N / k dispatchers of a round take slices that don't overlap
-//   ring        dispatchers stand on a ring, 64 points each; an engine is used by the next k from its own point on
+//   rounds      the list is shuffled by round; the N / k dispatchers of a round take slices of it
+//   ring        dispatchers stand on a ring, 64 points each; an engine is used by the next k from its own point
 //   random      each dispatcher draws E k / N engines of the list by its own seed
 #include <malloc.h>
 
@@ -108,8 +109,8 @@
   return mine;
 }
 
-// All views at once, by id of engine: which dispatchers use it, in ascending order. What goes by engine is worked out by
-// engine, as one view after the other would take minutes.
+// All views at once, by id of engine: which dispatchers use it, in ascending order. What goes by engine is
+// worked out by engine, as one view after the other would take minutes.
 using Users = std::vector<std::vector<uint16_t>>;
 Users usersOf(const Way& way, const Ids& list, int dispatchers, int users, const Ids* older = nullptr) {
   Users all(list.size());
@@ -186,8 +187,8 @@
     }
 }
 
-// Utilisation of engines over its mean, where each dispatcher spreads its traffic over its view by capacity, and nobody
-// heeds how busy an engine is: the module does, so this is the worst that it starts from.
+// Utilisation of engines over its mean, where each dispatcher spreads its traffic over its view by capacity,
+// and nobody heeds how busy an engine is: the module does, so this is the worst that it starts from.
 struct Load {
   const char* what;
   double heavy,
--- a/src/view/reach.cpp
+++ b/src/view/reach.cpp
@@ -34,7 +34,8 @@
   usable_[size_t(place)] += by;
 }
 
-// Of few engines twice `least` are within it in the mean. In powers of two: lists of different age then mostly agree.
+// Of few engines twice `least` are within it in the mean. In powers of two, so that lists of different age
+// mostly agree.
 int Reach::bound() const {
   double few = listed_ > 0 ? 2.0 * dispatchers_ * plan_.least / listed_ : 0;
   auto wide = std::bit_ceil(uint64_t(std::ceil(few)));
--- a/src/view/reach.h
+++ b/src/view/reach.h
@@ -1,9 +1,11 @@
-// How far the view goes for one class: the commands that may run in the same zones and on the same kinds of engines.
+// How far the view goes for one class: the commands that may run in the same zones and on the same kinds of
+// engines.
 //
-// Usable engines (in service, warm, not found unfit) are counted by this dispatcher's place among their users. The reach
-// is the least place, and one, with which enough of them are in view. It grows as soon as more is needed, and shrinks by
-// an eighth a second once less has done for a while. It never goes beyond the last usable one: where all of a class are
-// cold or unfit there is nothing to widen for. Nothing here walks engines.
+// Usable engines (in service, warm, not found unfit) are counted by this dispatcher's place among their
+// users. The reach is the least place, and one, with which enough of them are in view. It grows as soon as
+// more is needed, and shrinks by an eighth a second once less has done for a while. It never goes beyond the
+// last usable one: where all of a class are cold or unfit there is nothing to widen for. Nothing here walks
+// engines.
 #pragma once
 #include <cmath>
 #include <string>
@@ -33,7 +35,7 @@
   int bound() const;  // over which the reach never goes
   int need() const;   // usable engines that have to be in view, if there are so many
   int now() const { return reach_; }
-  // While there is too little, engines in view that were found unfit are kept as far as this: they may be the next to do.
+  // While there is too little, engines in view that were found unfit are kept as far as this.
   int keeps() const { return keeps_; }
   void settle(double now);
   double wakes() const { return narrowsAt_; }  // HUGE_VAL: not by itself
--- a/src/view/view.cpp
+++ b/src/view/view.cpp
@@ -131,8 +131,8 @@
   if (entry.inView) changes.push_back({listingOf(entry), entry.place < base_ ? entry.place : -1});
 }
 
-// The table moves once an event, as bytes: 1.4 MB at 44,000 engines. A whole list is compared row by row; what is the
-// same costs that comparison and nothing else.
+// The table moves once an event, as bytes: 1.4 MB at 44,000 engines. A whole list is compared row by row;
+// what is the same costs that comparison and nothing else.
 std::vector<Change> View::apply(const ListEvent& event, double now) {
   Changes changes;
   std::vector<Entry> fresh;
@@ -165,9 +165,9 @@
   return changes;
 }
 
-// --- what is in view
-// A class that has lost so many engines that its bound doubles needs the places of the others further out: one walk over
-// all 44,000 entries then, at most log2(N / mostUsers) times a class, as caps never fall.
+// --- what is in view A class that has lost so many engines that its bound doubles needs the places of the
+// others further out: one walk over all 44,000 entries then, at most log2(N / mostUsers) times a class, as
+// caps never fall.
 void View::raiseCaps() {
   bool raised = false;
   for (Make& make : makes_) {
--- a/tests/view_scene.h
+++ b/tests/view_scene.h
@@ -1,5 +1,6 @@
-// What the tests of the view share: a fleet's settings and engines, a dispatcher that keeps what its view tells, and a
-// model of what it should have told, worked out anew by sorting all dispatchers before each engine.
+// What the tests of the view share: a fleet's settings and engines, a dispatcher that keeps what its view
+// tells, and a model of what it should have told, worked out anew by sorting all dispatchers before each
+// engine.
 #pragma once
 #include <algorithm>
 #include <cmath>
