What a view keeps by place shrinks again when a class has grown

Cause: bounds were only ever raised. A list that began with few engines, or was lost for a while, left every engine ranked among all dispatchers and kept by place: some 48 bytes an engine more, and 2,400 hashes for each new one. Now what lies beyond the bound goes once that has fallen to a quarter.

--- a/src/view/view.cpp
+++ b/src/view/view.cpp
@@ -165,16 +165,27 @@
   return changes;
 }
 
-// --- what is in view A class that has lost so many engines that its bound doubles needs the places of the
-// others further out: one walk over all 44,000 entries then, at most log2(N / mostUsers) times a class, as
-// caps never fall.
-void View::raiseCaps() {
+// --- what is in view
+
+// A class that lost so many engines that its bound doubles needs the places of the others further out: one walk over
+// all 44,000 entries then. What is kept by place shrinks again when a class has grown: by no less than four times,
+// so that a count that goes up and down over a power of two costs nothing.
+void View::setCaps() {
   bool raised = false;
+  int lowered = settings_.gateways;
   for (Make& make : makes_) {
     int cap = base_;
     for (size_t which : make.classes) cap = std::max(cap, reaches_[which].bound());
-    raised |= make.cap > 0 && cap > make.cap;
-    make.cap = std::max(make.cap, cap);
+    if (cap <= make.cap && 4 * cap > make.cap) continue;
+    cap > make.cap ? raised |= make.cap > 0 : lowered = std::min(lowered, cap);
+    make.cap = cap;
+  }
+  std::vector<uint32_t> beyond;
+  for (auto at = near_.lower_bound({lowered, 0}); at != near_.end(); ++at)
+    if (at->first >= makes_[find(at->second)->make].cap) beyond.push_back(at->second);
+  for (uint32_t id : beyond) {
+    Entry& entry = *find(id);
+    index(entry, false), entry.near = false, touched_.push_back(id);
   }
   if (!raised) return;
   for (Entry& entry : table_)
@@ -182,8 +193,7 @@
 }
 
 bool View::belongs(const Entry& entry) const {
-  if (!entry.near) return false;
-  if (entry.place < base_) return true;
+  if (entry.place < base_) return true;  // one that isn't `near` has a place beyond all that follows
   if (entry.state != NodeState::inService) return entry.inView;  // until it has gone
   return !entry.cold && std::ranges::any_of(makes_[entry.make].classes, [&](size_t which) {
     return entry.place < (entry.inView && entry.rests ? reaches_[which].keeps() : reaches_[which].now());
@@ -205,7 +215,7 @@
 
 void View::settle(double now, Changes& changes) {
   now_ = now, due_ = false;
-  raiseCaps();
+  setCaps();
   for (uint32_t id : touched_)
     if (Entry* entry = find(id)) rank(*entry), index(*entry, true);
   while (!cold_.empty() && warmAt(cold_.begin()->first) <= now) {
@@ -276,7 +286,7 @@
 }
 
 Figures View::figures() const {
-  Figures figures{listed_, used_, base_, ranked_};
+  Figures figures{listed_, used_, base_, ranked_, near_.size()};
   for (auto& reach : reaches_) figures.reach = std::max(figures.reach, reach.now());
   return figures;
 }
--- a/src/view/view.h
+++ b/src/view/view.h
@@ -34,6 +34,7 @@
   size_t listed = 0, used = 0;  // engines in service; in view
   int reach = 0;                // the greatest place, and one, with which an engine is in view
   uint64_t ranked = 0;  // orders worked out since the start: grows with what changes, not with the list
+  size_t near = 0;      // engines whose place is known, as some class may come to need them
 };
 
 class View {
@@ -60,7 +61,7 @@
   struct Make {  // what engines of one zone and kind have in common
     std::string zone, kind;
     std::vector<size_t> classes;  // that they serve, of reaches_
-    int cap = 0;                  // to which their places are known; it never falls
+    int cap = 0;                  // to which their places are known
   };
   struct Entry {  // an engine of the list, in view or not
     int64_t bornMs = 0;
@@ -89,7 +90,7 @@
   void list(const Entry& entry, int by);  // count it among those in service, or no longer
   void index(Entry& entry, bool is);      // what is kept by place
   void rank(Entry& entry);                // as far as its make's cap asks for
-  void raiseCaps();
+  void setCaps();
   bool belongs(const Entry& entry) const;  // in view
   void tell(Entry& entry, Changes& changes);
   void settle(double now, Changes& changes);
--- a/tests/view_cases_test.cpp
+++ b/tests/view_cases_test.cpp
@@ -207,6 +207,26 @@
   }
 }
 
+TEST_CASE("a list that began short, or was lost, leaves nothing behind when it has grown") {
+  Dispatcher one(planOf(8, 32, 8), 400, 5);
+  Model model{planOf(8, 32, 8), 400, 5};
+  for (auto& row : enginesOf(4000)) model.put(row);
+  for (uint32_t id = 1; id <= 3; ++id) one.changes({enginesOf(3)[id - 1]});
+  CHECK_EQ(one.view.figures().near, 3);  // of so few all are in view everywhere
+  auto rows = enginesOf(30);
+  one.whole(rows);
+  for (uint32_t id = 31; id <= 2000; ++id) rows.push_back(engineOf(id, false, false));
+  one.whole(rows);  // of four large ones the places are still needed
+  CHECK_EQ(one.view.figures().ranked, 2000);
+  for (int times = 0; times < 2; ++times) {
+    one.whole(enginesOf(4000)), one.until(kBegin + 100, [](double) {});
+    CHECK_EQ(model.broken(one, kBegin + 100, true), "");
+    CHECK_LT(one.view.figures().near, 4000 * 2 * 32 / 400);
+    one.whole({});
+    CHECK_EQ(one.view.figures().near, 0);
+  }
+}
+
 TEST_CASE("what the module is told in place of the settings") {
   Settings few = View(planOf(8, 16, 4), settingsOf(200, 3)).local(),
            all = View(planOf(8, 16, 4), settingsOf(5, 3)).local();
