--- a/src/lab/members_scale.cpp
+++ b/src/lab/members_scale.cpp
@@ -172,7 +172,7 @@
         {{"quiet", Kind::quiet}, {"lost", Kind::lost}, {"apart", Kind::apart}, {"restarts", Kind::restarts}});
     scene.lasts = row.get("lasts", scene.lasts), scene.part = row.get("part", scene.part);
     scene.restartsAt = row.get("restartsAt", 1.0), scene.awayTime = row.get("awayTime", scene.awayTime);
-    scene.sizes = row.get("sizes", plan.sizes);
+    scene.sizes = row.get("sizes", plan.sizes), scene.seeds = row.get("seeds", scene.seeds);
   }
   return plan;
 }
@@ -228,6 +228,25 @@
 
 }  // namespace
 
+void addEarlier(FiguresFile& file, const FiguresFile& earlier) {
+  for (auto& old : earlier.figures) {
+    auto same = [&](auto& one) { return one.name == old.name && one.variant == old.variant; };
+    auto figure = std::ranges::find_if(file.figures, same);
+    if (figure == file.figures.end()) {
+      file.figures.push_back(old);
+      continue;
+    }
+    for (size_t i = 0; i < old.xs.size(); ++i) {
+      auto place = std::ranges::lower_bound(figure->xs, old.xs[i]) - figure->xs.begin();
+      if (size_t(place) < figure->xs.size() && figure->xs[size_t(place)] == old.xs[i]) continue;
+      figure->xs.insert(figure->xs.begin() + place, old.xs[i]);
+      figure->ys.insert(figure->ys.begin() + place, old.ys[i]);
+      if (!old.repeats.empty()) figure->repeats.insert(figure->repeats.begin() + place, old.repeats[i]);
+    }
+  }
+  file.missing.insert(file.missing.end(), earlier.missing.begin(), earlier.missing.end());
+}
+
 FiguresFile playMembers(const MembersPlan& plan, int threads,
                         const std::function<void(const FiguresFile&, const std::string&)>& done) {
   FiguresFile base;
@@ -249,7 +268,7 @@
   for (auto& scene : plan.scenes)
     for (size_t i = 0; i < plan.sizes.size(); ++i)
       if (std::ranges::count(scene.sizes, plan.sizes[i]))
-        for (int seed = 1; seed <= plan.seeds[i]; ++seed) jobs.push_back({&scene, plan.sizes[i], seed});
+        for (int seed = 1; seed <= std::min(plan.seeds[i], scene.seeds); ++seed) jobs.push_back({&scene, plan.sizes[i], seed});
   std::ranges::stable_sort(jobs, std::greater{}, &Job::cost);
   std::mutex lock;
   size_t next = 0;
--- a/src/lab/members_scale.h
+++ b/src/lab/members_scale.h
@@ -21,6 +21,7 @@
   double restartsAt = 0;   // restarts a second at the target; at other sizes in proportion
   double awayTime = 5;     // seconds from a member's goodbye to its start
   std::vector<int> sizes;  // those that it is played at
+  int seeds = 100;         // at most so many at each
 };
 
 struct MembersPlan {
@@ -54,6 +55,9 @@
 // Bytes of a core that has heard of all, and of the wire's names. 0 under sanitizers, which keep their own heap.
 double bytesOfCore(int size);
 
+// Puts into `file` what an earlier run has of sizes and phases that this one did not play.
+void addEarlier(FiguresFile& file, const FiguresFile& earlier);
+
 // Plays all, on so many threads, the longest first; `done` is told after each, never twice at once.
 FiguresFile playMembers(const MembersPlan& plan, int threads,
                         const std::function<void(const FiguresFile& sofar, const std::string& line)>& done);
--- a/src/tools/lab.cpp
+++ b/src/tools/lab.cpp
@@ -66,17 +66,34 @@
 }
 
 // Membership at size; the file is written after each run, so that one that is stopped has told what it had.
-bool runMembers(const std::string& path, const std::string& json, int threads) {
+struct MembersOptions {
+  std::string plan, json, with, conditions;
+  std::vector<int> sizes;
+  int threads = 2;
+};
+bool runMembers(const MembersOptions& options) {
   bool sound = true;
+  MembersPlan plan = readMembersPlan(options.plan);
+  if (!options.sizes.empty())
+    for (auto& scene : plan.scenes)
+      std::erase_if(scene.sizes, [&](int size) { return !std::ranges::count(options.sizes, size); });
+  FiguresFile earlier;  // read before anything is played: a faulty one must not cost a run
+  if (!options.with.empty()) earlier = readFigures(options.with);
+  auto whole = [&](FiguresFile file) {
+    file.plan = readJson(options.plan), file.machine["conditions"] = options.conditions;
+    if (options.with.empty()) return file;
+    addEarlier(file, earlier), file.machine["earlier"] = earlier.machine;
+    return file;
+  };
   auto began = std::chrono::steady_clock::now();
   FiguresFile file =
-      playMembers(readMembersPlan(path), threads, [&](const FiguresFile& sofar, const std::string& line) {
+      playMembers(plan, options.threads, [&](const FiguresFile& sofar, const std::string& line) {
         std::chrono::duration<double> took = std::chrono::steady_clock::now() - began;
         std::cerr << long(took.count()) << " s: " << line << '\n';
-        if (!json.empty()) writeFigures(json, sofar);
+        if (!options.json.empty()) writeFigures(options.json, whole(sofar));
         sound &= std::ranges::none_of(sofar.missing, [](auto& one) { return one.figure == "members"; });
       });
-  std::cout << tableOf({file}, {""});
+  std::cout << tableOf({whole(file)}, {""});
   return sound;
 }
 
@@ -116,19 +133,25 @@
   run->add_option("--seed", options.seed, "the first seed");
   run->add_option("--seeds", options.seeds, "how many, one after the other; figures are their means")
       ->check(CLI::Range(1, 1000));
-  run->add_option("--against", options.against, "also play it so: plain, apart, whole, calm, random, fifo")
-      ->check(CLI::IsMember({"plain", "apart", "whole", "calm", "random", "fifo"}));
+  run->add_option("--against", options.against, "also play it so: plain, apart, calm, random, fifo")
+      ->check(CLI::IsMember({"plain", "calm", "random", "fifo"}));
   run->add_option("--sockets", options.program,
                   "play it on sockets as well, with this dispatcher, in real time")
       ->type_name("PROGRAM")
       ->check(CLI::ExistingFile);
   run->add_option("--report", options.report, "a folder for JSON, plots and a page");
   auto* members = app.add_subcommand("members", "membership at several sizes, in virtual time");
-  std::string membersPlan, membersJson;
-  int membersThreads = 2;
-  members->add_option("PLAN", membersPlan, "as lab/scale/members.json")->required()->check(CLI::ExistingFile);
-  members->add_option("--json", membersJson, "a file for the figures");
-  members->add_option("--threads", membersThreads)->check(CLI::Range(1, 64));
+  MembersOptions membersOptions;
+  members->add_option("PLAN", membersOptions.plan, "as lab/scale/members.json")
+      ->required()
+      ->check(CLI::ExistingFile);
+  members->add_option("--json", membersOptions.json, "a file for the figures");
+  members->add_option("--sizes", membersOptions.sizes, "of the plan's, these alone");
+  members
+      ->add_option("--with", membersOptions.with, "figures of an earlier run, for what this one doesn't play")
+      ->check(CLI::ExistingFile);
+  members->add_option("--conditions", membersOptions.conditions, "what else ran, for the file");
+  members->add_option("--threads", membersOptions.threads)->check(CLI::Range(1, 64));
   std::string plan, program, json, page;
   std::vector<std::string> figures;
   bool check = false, write = false;
@@ -147,7 +170,7 @@
   CLI11_PARSE(app, count, words);
   bool sound = true;
   if (!run->parsed()) try {
-      if (members->parsed()) return runMembers(membersPlan, membersJson, membersThreads) ? 0 : 1;
+      if (members->parsed()) return runMembers(membersOptions) ? 0 : 1;
       return (scaling->parsed() ? scale(plan, program, json) : capacity(page, figures, write)) ? 0 : 1;
     } catch (const std::exception& fault) {
       std::cerr << fault.what() << '\n';
