--- a/src/tools/lab.cpp
+++ b/src/tools/lab.cpp
@@ -133,8 +133,8 @@
   run->add_option("--seed", options.seed, "the first seed");
   run->add_option("--seeds", options.seeds, "how many, one after the other; figures are their means")
       ->check(CLI::Range(1, 1000));
-  run->add_option("--against", options.against, "also play it so: plain, apart, calm, random, fifo")
-      ->check(CLI::IsMember({"plain", "calm", "random", "fifo"}));
+  run->add_option("--against", options.against, "also play it so: plain, apart, whole, calm, random, fifo")
+      ->check(CLI::IsMember({"plain", "apart", "whole", "calm", "random", "fifo"}));
   run->add_option("--sockets", options.program,
                   "play it on sockets as well, with this dispatcher, in real time")
       ->type_name("PROGRAM")
--- a/tests/members_test.cpp
+++ b/tests/members_test.cpp
@@ -45,16 +45,16 @@
 }  // namespace
 
 TEST_CASE("claims: merging is a join, whatever the order and however often") {
-  rc::check([] {
+  CHECK(rc::check([] {
     Claim a = *claims(), b = *claims(), c = *claims();
     RC_ASSERT(joined(a, b) == joined(b, a));
     RC_ASSERT(joined(a, joined(b, c)) == joined(joined(a, b), c));
     RC_ASSERT(joined(a, a) == a);
-  });
+  }));
 }
 
 TEST_CASE("cores that have heard the same rows hold the same, in any order and with copies") {
-  rc::check([] {
+  CHECK(rc::check([] {
     auto plan = Gossip::plan(6);
     auto rows = *rc::gen::container<std::vector<std::pair<int, Claim>>>(
         rc::gen::pair(rc::gen::inRange(2, 6), claims()));
@@ -74,7 +74,7 @@
       return core.view(0).digest;
     };
     RC_ASSERT(digestAfter(rows) == digestAfter(shuffled));
-  });
+  }));
 }
 
 TEST_CASE("the wire: what was written is read; what is damaged, foreign or too new is told and not used") {
