--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -135,6 +135,7 @@
 TEST_CASE("a view bounds who uses an engine; a zone alone is lost, and a roll replaces its part in steps") {
   Scenario scene = readScenario(std::string(SCENARIOS) + "view-small.json");
   scene.lasts = 12, scene.troubles.clear(), scene.view->users = scene.view->mostUsers = 4;
+  scene.fleet.gateways = scene.settings.gateways = 24;
   auto mostUsers = [&](const char* variant) {
     return figuresOf(scene, play(scene, 1, variantNamed(variant))).at("engines.users.most");
   };
