Behind a view the turns at a cold engine share the rule's bound in place of N

Cause: Core::right() gave out kSlots x kSlotPart = half of N at the most, in eighths of N; where a window holds 24 commands that is three, and a dear one at the head of a queue leaves the rest unused. Change: the turns share N + 2 root of N + 2 commands of usual work, the rule's own bound, which is known for each engine where views make its users; only behind a view (no ordinal, a place), so without one every decision is as before (81 tests with their traces pass).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -447,13 +447,13 @@
   // its start on, a few known by a hash have all of it. A window touches three slots; a fourth by slow sends.
   bool byTurns(const Node& node) const { return cold(node) && node.place >= 0 && share() < kByTurns; }
   double right(Node& node) {
-    double budget = set.fallMultiple * set.coldFrom * node.cores * set.fallTime;
+    double budget = set.fallMultiple * set.coldFrom * node.cores * set.fallTime, span = set.fallTime / kSlots;
     if (!byTurns(node)) return kSafeCapacity * budget * share() - node.coldWork.sum(now);
-    double length = set.fallTime / kSlots;
-    int64_t slot = int64_t(std::floor((now - *node.startedAt) / length)), holds = 0;
+    if (set.ordinal < 0 && usualWork > 0) budget += 2 * (std::sqrt(budget / usualWork) + 1) * usualWork;
+    int64_t slot = int64_t(std::floor((now - *node.startedAt) / span)), holds = 0;
     for (int i = 0; i < int(kHolders); ++i)
       holds += int(mix(node.id, ~uint64_t(slot * int(kHolders) + i)) * set.gateways) == node.place;
-    if (holds == 0 || *node.startedAt + double(slot) * length < openedAt) return 0;  // an earlier life had it
+    if (holds == 0 || *node.startedAt + double(slot) * span < openedAt) return 0;  // an earlier life had it
     if (std::exchange(node.slot, slot) != slot) node.slotWork = 0;
     return kSlotPart * budget / kHolders - node.slotWork;
   }
