Scale run's test of a killed run: its child ends also where the guard is gone

Cause: with PR_SET_PDEATHSIG taken out of endWith the case fails as it should, but its child stayed for half an hour and kept whoever read its output waiting.

--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -204,7 +204,7 @@
   pid_t tool = fork();
   if (tool == 0) {
     ScaleFolder folder;
-    Child child([](int) { pause(); });
+    Child child([](int) { alarm(20), pause(); });  // an end also where the guard is gone
     std::string said = std::to_string(child.pid()) + " " + folder.path + "\n";
     (void)!::write(ends[1], said.data(), said.size());
     pause();
