--- a/src/lab/gossip.cpp
+++ b/src/lab/gossip.cpp
@@ -175,10 +175,11 @@
   return breaks(its, "it holds of n" + std::to_string(of) + " what that never said");
 }
 
-// What must hold at every step, whatever the network and the processes do. A claim changes by a row or the sender of
-// what was heard, by an event, or is our own: those are looked at after each turn, and so are 64 others, round and
-// round. So up to 64 members all are looked at each time; among more, a change by any other way is found within N/64
-// turns of that member, about 3 s among 2,400. `held` only grows, so what went back in the meantime is seen then too.
+// What must hold at every step, whatever the network and the processes do. A claim changes by a row or the
+// sender of what was heard, by an event, or is our own: those are looked at after each turn, and so are 64
+// others, round and round. So up to 64 members all are looked at each time; among more, a change by any other
+// way is found within N/64 turns of that member, about 3 s among 2,400. `held` only grows, so what went back
+// in the meantime is seen then too.
 void Gossip::check(Host& its) {
   if (!broken_.empty()) return;
   const Life& life = its.core->life();
@@ -201,8 +202,8 @@
   while (!reached && events_.next(now_)) {}
 }
 
-// Every pair is looked at before it is true. The search begins with the last pair that did not agree, which mostly
-// answers at once.
+// Every pair is looked at before it is true. The search begins with the last pair that did not agree, which
+// mostly answers at once.
 bool Gossip::agreed() const {
   for (size_t i = 0, n = hosts_.size(); i < n; ++i, wrongHost_ = (wrongHost_ + 1) % n) {
     auto& its = hosts_[wrongHost_];
--- a/src/lab/gossip.h
+++ b/src/lab/gossip.h
@@ -1,6 +1,6 @@
-// Many members in virtual time: the real cores and the real wire format, with a network between them that delays,
-// loses, copies, reorders and cuts, and processes that stop, die and start again. No sockets, no threads. The same
-// seed gives the same run. What must hold at every step is checked at every step.
+// Many members in virtual time: the real cores and the real wire format, with a network between them that
+// delays, loses, copies, reorders and cuts, and processes that stop, die and start again. No sockets, no
+// threads. The same seed gives the same run. What must hold at every step is checked at every step.
 #pragma once
 #include <cstdint>
 #include <memory>
--- a/src/lab/members_scale.cpp
+++ b/src/lab/members_scale.cpp
@@ -268,7 +268,8 @@
   for (auto& scene : plan.scenes)
     for (size_t i = 0; i < plan.sizes.size(); ++i)
       if (std::ranges::count(scene.sizes, plan.sizes[i]))
-        for (int seed = 1; seed <= std::min(plan.seeds[i], scene.seeds); ++seed) jobs.push_back({&scene, plan.sizes[i], seed});
+        for (int seed = 1; seed <= std::min(plan.seeds[i], scene.seeds); ++seed)
+          jobs.push_back({&scene, plan.sizes[i], seed});
   std::ranges::stable_sort(jobs, std::greater{}, &Job::cost);
   std::mutex lock;
   size_t next = 0;
--- a/src/lab/members_scale.h
+++ b/src/lab/members_scale.h
@@ -1,6 +1,6 @@
-// Membership at size, in virtual time: what a fleet of so many members in regions pays for being quiet, for losing some
-// and having them back, for regions cut off from each other, for restarts without end. One plan file, several sizes
-// with the same parts in each; what must hold is checked at every step.
+// Membership at size, in virtual time: what a fleet of so many members in regions pays for being quiet, for
+// losing some and having them back, for regions cut off from each other, for restarts without end. One plan
+// file, several sizes with the same parts in each; what must hold is checked at every step.
 #pragma once
 #include <cstdint>
 #include <functional>
@@ -52,7 +52,8 @@
 };
 Played play(const MembersScene& scene, int size, int regions, uint64_t seed, int target = 2400);
 
-// Bytes of a core that has heard of all, and of the wire's names. 0 under sanitizers, which keep their own heap.
+// Bytes of a core that has heard of all, and of the wire's names. 0 under sanitizers, which keep their own
+// heap.
 double bytesOfCore(int size);
 
 // Puts into `file` what an earlier run has of sizes and phases that this one did not play.
--- a/src/lab/traffic.h
+++ b/src/lab/traffic.h
@@ -1,4 +1,5 @@
-// Bytes by the second, of one member or of all, in virtual time: the sum, and the worst 5 s that begin with a second.
+// Bytes by the second, of one member or of all, in virtual time: the sum, and the worst 5 s that begin with a
+// second.
 #pragma once
 #include <algorithm>
 #include <array>
--- a/tests/members_scale_test.cpp
+++ b/tests/members_scale_test.cpp
@@ -1,5 +1,5 @@
-// How the cost of membership grows with the fleet, by counts of bytes and messages in virtual time, which are the same
-// on every machine; and that regions cut off and restarts without end break nothing that must hold.
+// How the cost of membership grows with the fleet, by counts of bytes and messages in virtual time, which are
+// the same on every machine; and that regions cut off and restarts without end break nothing that must hold.
 #include "lab/members_scale.h"
 
 #include <doctest/doctest.h>
