--- a/src/lab/gossip.cpp
+++ b/src/lab/gossip.cpp
@@ -178,8 +178,8 @@
 // What must hold at every step, whatever the network and the processes do. A claim changes by a row or the
 // sender of what was heard, by an event, or is our own: those are looked at after each turn, and so are 64
 // others, round and round. So up to 64 members all are looked at each time; among more, a change by any other
-// way is found within N/64 turns of that member, about 3 s among 2,400. `held` only grows, so what went back
-// in the meantime is seen then too.
+// way is found within N/64 turns of that member, about 3 s among 2,400. What went back and rose
+// again in between, by no row and no event, is not seen.
 void Gossip::check(Host& its) {
   if (!broken_.empty()) return;
   const Life& life = its.core->life();
