--- a/src/lab/figures_file.cpp
+++ b/src/lab/figures_file.cpp
@@ -53,7 +53,10 @@
   for (size_t i = 1; i < ys.size(); ++i)
     if (ys[i] > *limit) return xs[i - 1] + (xs[i] - xs[i - 1]) * (*limit - ys[i - 1]) / (ys[i] - ys[i - 1]);
   auto at = fits().reaches(*limit);
-  return at ? std::optional(std::max(*at, xs.back())) : std::nullopt;
+  // Far beyond what was measured no fit tells anything.
+  constexpr double kFarthest = 16;
+  if (!at || *at > kFarthest * xs.back()) return std::nullopt;
+  return std::max(*at, xs.back());
 }
 
 Json machineHere() {
