--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -17,15 +17,6 @@
   return trouble;
 }
 
-view::Plan readViewPlan(const Section& section) {
-  view::Plan plan;
-  plan.users = section.get("users", plan.users), plan.mostUsers = section.get("mostUsers", plan.mostUsers);
-  plan.least = section.get("least", plan.least);
-  plan.usablePart = section.get("usablePart", plan.usablePart);
-  plan.narrowAfter = section.get("narrowAfterS", plan.narrowAfter);
-  return plan;
-}
-
 }  // namespace
 
 Scenario readScenario(const std::string& path) {
@@ -101,7 +92,7 @@
     scene.shared = terms;
   }
   if (file.has("view")) {
-    scene.view = readViewPlan(file.part("view"));
+    scene.view = readView(file.part("view"));
     for (auto& flaw : view::flawsOf(*scene.view))
       faults.push_back(path + ": view." + flaw.key + ": " + flaw.why);
   }
