--- a/src/view/plan.h
+++ b/src/view/plan.h
@@ -7,11 +7,11 @@
 namespace elmcleat::view {
 
 struct Plan {
-  int users = 24;            // dispatchers that use an engine on an ordinary day; a cold one is never used by more
-  int mostUsers = 96;        // and while views are wide
-  int least = 8;             // engines that each class finds in view, if the list has as many
-  double usablePart = 0.5;   // a view widens while less of its part of a class's engines is usable
-  double narrowAfter = 30;   // seconds for which less would have done, before it narrows
+  int users = 24;      // dispatchers that use an engine on an ordinary day; a cold one is never used by more
+  int mostUsers = 96;  // and while views are wide
+  int least = 8;       // engines that each class finds in view, if the list has as many
+  double usablePart = 0.5;  // a view widens while less of its part of a class's engines is usable
+  double narrowAfter = 30;  // seconds for which less would have done, before it narrows
   bool operator==(const Plan&) const = default;
 };
 
