A view tells rows of the list, each with its place: the type beside them goes

NodeRow has had a place since the view came; view::Change held it a second time, with -1 for none, and the program, the laboratory, a bench and a test each turned it back into a row. View::plan_ was never read, and the list that discovery starts from was emptied by hand where it ends anyway; without a view a list is not copied any more.

--- a/bench/engines_bench.cpp
+++ b/bench/engines_bench.cpp
@@ -66,8 +66,7 @@
   if (plan) seen.emplace(*plan, set);
   std::vector<NodeRow> rows;
   if (seen)
-    for (auto& [listing, place] : seen->apply(whole, 0))
-      rows.push_back(listing.row), rows.back().place = place;
+    for (auto& listing : seen->apply(whole, 0)) rows.push_back(listing.row);
   else
     for (auto& listing : whole.rows) rows.push_back(listing.row);
   Sink sink;
--- a/bench/view_bench.cpp
+++ b/bench/view_bench.cpp
@@ -280,7 +280,7 @@
   size_t before = bytes();
   View view(plan, set);
   Ids near;
-  for (auto& change : view.apply(list, now)) near.push_back(change.listing.row.id);
+  for (auto& change : view.apply(list, now)) near.push_back(change.row.id);
   size_t held = bytes() - before;
   Figures figures = view.figures();
   auto us = [](double took) { return took * 1e6; };
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -89,20 +89,15 @@
     }
     // The list, or what of it is in view.
     void hear(const ListEvent& event) {
-      if (view) return show(view->apply(event, world.now_), event.whole);
-      std::vector<NodeRow> rows;
-      for (auto& listing : event.rows) rows.push_back(rowOf(listing));
-      tell([&] { gateway->list(event.whole ? ListKind::full : ListKind::changes, rows); });
+      if (!view) return show(event.rows, event.whole);
+      show(view->apply(event, world.now_), event.whole);
+      watch();
     }
-    void show(const std::vector<view::Change>& changes, bool first) {
+    void show(const std::vector<Listing>& listings, bool whole) {
       std::vector<NodeRow> rows;
-      for (auto& change : changes) {
-        NodeRow& row = rows.emplace_back(rowOf(change.listing));
-        row.place = change.place;
-      }
-      if (first || !rows.empty())
-        tell([&] { gateway->list(first ? ListKind::full : ListKind::changes, rows); });
-      watch();
+      for (auto& listing : listings) rows.push_back(rowOf(listing));
+      if (whole || !rows.empty())
+        tell([&] { gateway->list(whole ? ListKind::full : ListKind::changes, rows); });
     }
     void rests(uint32_t node, bool is) override {
       if (view) view->rests(node, is), watch();  // the module is told in a turn of its own
@@ -111,7 +106,7 @@
       double at = std::max(view->wakes(), world.now_);
       if (at == HUGE_VAL || (watchAt >= 0 && watchAt <= at)) return;
       world.events_.at(watchAt = at, [this, at] {
-        if (watchAt == at) watchAt = -1, show(view->tick(world.now_), false);
+        if (watchAt == at) watchAt = -1, show(view->tick(world.now_), false), watch();
       });
     }
     static NodeRow rowOf(const Listing& listing) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -121,7 +121,7 @@
   Door door(scheduler, config, dispatcher);
   discovery.evictBy([&door] { return door.evictIdle(); });
   dispatcher.start(discovery);
-  discovery.start(std::move(config.known));
+  discovery.start(std::exchange(config.known, {}));
   std::optional<Timer> look;
   auto heed = [&] { heedShared(*control, dispatcher, *look, clock); };
   if (sharing) look.emplace(scheduler, heed), heed();  // in force before the first command is taken
--- a/src/serve/discovery.cpp
+++ b/src/serve/discovery.cpp
@@ -35,9 +35,8 @@
       looks_(scheduler, [this] { look(); }),
       room_(std::max(config.sockets / 3, kLeastLinks)) {}
 
-void Discovery::start(std::vector<ListEvent> known) {
-  for (auto& event : known) apply(std::move(event));
-  known = {};
+void Discovery::start(const std::vector<ListEvent>& known) {
+  for (auto& event : known) apply(event);
   task_ = run();
   task_.start();
 }
@@ -105,21 +104,19 @@
       if (state == FrameReader::State::nothingNew || event.number <= last_) continue;
       if (event.number > last_ + 1 && last_ > 0)
         warn() << "change log: event " << event.number << " follows " << last_;
-      apply(std::move(event));
+      apply(event);
     }
   } while (stream.open() && stream.cutShort());
   return any;
 }
 
-void Discovery::apply(ListEvent event) {
+void Discovery::apply(const ListEvent& event) {
   last_ = event.number;
   if (!event.whole && event.rows.empty()) return;
   if (!view_) {
-    std::vector<view::Change> all;
-    for (auto& listing : event.rows) all.push_back({std::move(listing)});
     info() << "change log: event " << event.number << ", " << (event.whole ? "whole list" : "changes") << ", "
-           << all.size() << " engines named";
-    return use(std::move(all), event.whole);
+           << event.rows.size() << " engines named";
+    return use(event.rows, event.whole);
   }
   heed(view_->apply(event, scheduler_.clock().unix(scheduler_.now())),
        event.whole ? "whole list" : "changes");
@@ -128,7 +125,7 @@
 void Discovery::look() { heed(view_->tick(scheduler_.clock().unix(scheduler_.now())), "its own width"); }
 
 // What is out of view costs no line, actor, timer or row of the module.
-void Discovery::heed(std::vector<view::Change> changes, const char* why) {
+void Discovery::heed(const std::vector<Listing>& changes, const char* why) {
   if (double at = view_->wakes(); at < HUGE_VAL)
     looks_.set(scheduler_.clock().fromUnix(int64_t(at * 1e3) + 1));
   else looks_.clear();
@@ -137,15 +134,14 @@
   auto figures = view_->figures();
   info() << "view: " << changes.size() << " engines change by " << why << ", event " << last_ << ": "
          << figures.used << " of " << figures.listed << " in use, reach " << figures.reach;
-  use(std::move(changes), false);
+  use(changes, false);
 }
 
-void Discovery::use(std::vector<view::Change> changes, bool whole) {
+void Discovery::use(const std::vector<Listing>& listings, bool whole) {
   std::set<uint32_t> named;
   std::vector<NodeRow> rows;
-  for (auto& [listing, place] : changes) {
+  for (auto& listing : listings) {
     NodeRow& row = rows.emplace_back(listing.row);
-    if (place >= 0) row.place = place;
     if (listing.bornMs > 0) row.startedAt = scheduler_.clock().fromUnix(listing.bornMs);
     named.insert(row.id);
     auto& engine = engines_[row.id];
--- a/src/serve/discovery.h
+++ b/src/serve/discovery.h
@@ -18,7 +18,7 @@
   // With a view, only the engines in it are used; without one all are.
   Discovery(Scheduler& scheduler, const Config& config, Dispatcher& dispatcher,
             std::unique_ptr<view::View> view = nullptr);
-  void start(std::vector<ListEvent> known);  // then the change log is followed
+  void start(const std::vector<ListEvent>& known);  // then the change log is followed
   // Who can do without a descriptor when the system has none for the change log, or for an engine.
   void evictBy(std::function<bool()> evict) { room_.evict = std::move(evict); }
   void follow(const Address& changeLog);  // from the last number on, at once, if it is another one
@@ -34,10 +34,10 @@
  private:
   Task run();
   bool read(Stream& stream);
-  void apply(ListEvent event);
-  void look();                                                    // has the view to be wider, or narrower?
-  void use(std::vector<view::Change> changes, bool whole);        // what is not named in a whole list is gone
-  void heed(std::vector<view::Change> changes, const char* why);  // of the view
+  void apply(const ListEvent& event);
+  void look();                                                 // has the view to be wider, or narrower?
+  void use(const std::vector<Listing>& listings, bool whole);  // what is not named in a whole list is gone
+  void heed(const std::vector<Listing>& changes, const char* why);  // of the view
   void tell(uint32_t node, std::function<void(Engine&)> call);
 
   Scheduler& scheduler_;
--- a/src/view/view.cpp
+++ b/src/view/view.cpp
@@ -30,7 +30,7 @@
 }  // namespace
 
 View::View(const Plan& plan, const Settings& settings)
-    : plan_(plan), settings_(settings), base_(std::min(plan.users, settings.gateways)) {
+    : settings_(settings), base_(std::min(plan.users, settings.gateways)) {
   if (settings.ordinal < 0)
     throw Error(Wrong::ordinalMissing, "found none; allowed is 0 to " + std::to_string(settings.gateways - 1),
                 "settings.ordinal");
@@ -81,6 +81,7 @@
   listing.row.id = entry.id, listing.row.zone = make.zone, listing.row.kind = make.kind;
   listing.row.cell = entry.cell, listing.row.state = entry.state;
   listing.address = {entry.host, entry.port}, listing.bornMs = entry.bornMs;
+  if (entry.place < base_) listing.row.place = entry.place;
   return listing;
 }
 
@@ -128,12 +129,12 @@
 void View::remove(Entry& entry, Changes& changes) {
   index(entry, false), list(entry, -1);
   entry.state = NodeState::gone;
-  if (entry.inView) changes.push_back({listingOf(entry), entry.place < base_ ? entry.place : -1});
+  if (entry.inView) changes.push_back(listingOf(entry));
 }
 
 // The table moves once an event, as bytes: 1.4 MB at 44,000 engines. A whole list is compared row by row;
 // what is the same costs that comparison and nothing else.
-std::vector<Change> View::apply(const ListEvent& event, double now) {
+std::vector<Listing> View::apply(const ListEvent& event, double now) {
   Changes changes;
   std::vector<Entry> fresh;
   bool gone = false;
@@ -206,9 +207,9 @@
   if (is ? entry.inView && !changed : !entry.inView) return;
   if (entry.state == NodeState::inService) used_ += size_t(int(is) - int(entry.inView));
   entry.inView = is;
-  Change& change = changes.emplace_back(listingOf(entry), entry.place < base_ ? entry.place : -1);
+  Listing& told = changes.emplace_back(listingOf(entry));
   if (is) return;
-  change.listing.row.state = NodeState::gone;
+  told.row.state = NodeState::gone;
   // Nobody looks at it any more. No class is short of engines as far out as that: none comes to count on it.
   if (entry.rests) index(entry, false), entry.rests = false, index(entry, true);
 }
@@ -248,7 +249,7 @@
   due_ = true;
 }
 
-std::vector<Change> View::tick(double now) {
+std::vector<Listing> View::tick(double now) {
   Changes changes;
   settle(now, changes);
   return changes;
--- a/src/view/view.h
+++ b/src/view/view.h
@@ -25,11 +25,6 @@
 
 namespace elmcleat::view {
 
-struct Change {  // of an engine in view, or one that leaves it (state: gone); as the list has it otherwise
-  Listing listing;
-  int place = -1;  // of this dispatcher among the engine's users; -1: it uses it because its view is wide
-};
-
 struct Figures {
   size_t listed = 0, used = 0;  // engines in service; in view
   int reach = 0;                // the greatest place, and one, with which an engine is in view
@@ -46,12 +41,14 @@
   // by the same part), so that what it reckons by N is right for each engine that it sees.
   Settings local() const;
 
-  // Time is Unix seconds, as starts are in the list. Each call tells what changes for this dispatcher; a whole list
+  // Time is Unix seconds, as starts are in the list. Each call tells what changes for this dispatcher: engines in view,
+  // as the list has them, with its place among their users (none: they are in view because it is wide), and those
+  // that leave it (state: gone). A whole list
   // that changes nothing tells nothing.
-  std::vector<Change> apply(const ListEvent& event, double now);
-  void rests(uint32_t engine, bool is);  // the module has found an engine in view unfit, or fit again
-  std::vector<Change> tick(double now);  // at wakes(), and after rests()
-  double wakes() const;                  // HUGE_VAL: not before something is told
+  std::vector<Listing> apply(const ListEvent& event, double now);
+  void rests(uint32_t engine, bool is);   // the module has found an engine in view unfit, or fit again
+  std::vector<Listing> tick(double now);  // at wakes(), and after rests()
+  double wakes() const;                   // HUGE_VAL: not before something is told
 
   // A class that can't be served here although the list has engines for it: told once until it can.
   std::vector<std::string> lines();
@@ -77,7 +74,7 @@
     bool changed : 1 = false;  // since it was told
   };
   static_assert(sizeof(Entry) == 32);  // with what vectors keep in reserve and near_ well within 64 an engine
-  using Changes = std::vector<Change>;
+  using Changes = std::vector<Listing>;
 
   uint16_t makeOf(const std::string& zone, const std::string& kind);
   Entry entryOf(const Listing& listing, double now);
@@ -95,7 +92,6 @@
   void tell(Entry& entry, Changes& changes);
   void settle(double now, Changes& changes);
 
-  Plan plan_;
   Settings settings_;
   int base_;  // the first so many use an engine
   std::vector<Reach> reaches_;
--- a/tests/view_cases_test.cpp
+++ b/tests/view_cases_test.cpp
@@ -17,7 +17,8 @@
     before.whole(rows), after.whole(rows);
     int here = 0;
     for (auto& [id, told] : before.engines) here += !after.engines.contains(id);
-    for (auto& [id, told] : after.engines) gained += told.place >= 0 && !before.engines.contains(id);
+    for (auto& [id, told] : after.engines)
+      gained += told.row.place.has_value() && !before.engines.contains(id);
     lost += here, most = std::max(most, here);
   }
   double part =
@@ -63,20 +64,19 @@
   Plan plan{10, 20, 6, 0.5, 30};
   Dispatcher one(plan, kDispatchers, 3);
   one.whole(enginesOf(1600));  // 400 east
-  size_t others =
-      std::ranges::count_if(one.engines, [](auto& told) { return told.second.listing.row.zone == "w"; });
+  size_t others = std::ranges::count_if(one.engines, [](auto& told) { return told.second.row.zone == "w"; });
   CHECK_EQ(one.view.figures().ranked, 1600);
   std::vector<Listing> lost;
   for (uint32_t id = 4; id <= 1600 - 20; id += 4)
     lost.push_back(engineOf(id, true, false)), lost.back().row.state = kGone;
   one.changes(lost);  // five are left
-  auto east = [](auto& told) { return told.second.listing.row.zone == "e"; };
+  auto east = [](auto& told) { return told.second.row.zone == "e"; };
   CHECK_EQ(std::ranges::count_if(one.engines, east), 5);
   CHECK_EQ(std::ranges::count_if(one.engines, std::not_fn(east)), others);
   CHECK_LE(one.view.figures().ranked, 1600 + 5);
   for (auto& row : lost) row.row.state = kIn, row.bornMs = int64_t(kBegin * 1000);
   one.changes(lost);  // and back, cold: by the first alone, until they are warm
-  for (auto& [id, told] : one.engines) CHECK((told.listing.bornMs == 0 || told.place >= 0));
+  for (auto& [id, told] : one.engines) CHECK((told.bornMs == 0 || told.row.place.has_value()));
   CHECK_LE(one.view.wakes(), kBegin + kColdTime);
   one.until(kBegin + 100, [](double) {});
   CHECK_EQ(one.view.figures().reach, 10);
@@ -141,7 +141,7 @@
   CHECK_EQ(one.engines.size(), 10);
   for (uint32_t id = 11; id <= 1000; ++id) rows.push_back(engineOf(id, true, false));
   one.whole(rows, kBegin + 200);  // enough among the first: nothing is kept any more
-  for (auto& [id, near] : one.engines) CHECK_GE(near.place, 0);
+  for (auto& [id, near] : one.engines) CHECK_GE(near.row.place.value_or(-1), 0);
 }
 
 TEST_CASE("what was found unfit is forgotten when it leaves the view") {
@@ -150,7 +150,7 @@
   Model model{plan, 40, 0};
   for (auto& row : enginesOf(40)) model.put(row);
   one.whole(enginesOf(40));
-  auto wide = std::ranges::find_if(one.engines, [](auto& told) { return told.second.place < 0; });
+  auto wide = std::ranges::find_if(one.engines, [](auto& told) { return !told.second.row.place; });
   REQUIRE(wide != one.engines.end());
   uint32_t id = wide->first;
   one.view.rests(id, true);
@@ -166,13 +166,13 @@
   Plan plan{1, 40, 4, 0.5, 5};
   Dispatcher one(plan, 40, 0);
   one.whole(enginesOf(40));
-  auto wide = std::ranges::find_if(one.engines, [](auto& told) { return told.second.place < 0; });
+  auto wide = std::ranges::find_if(one.engines, [](auto& told) { return !told.second.row.place; });
   REQUIRE(wide != one.engines.end());
-  Listing row = wide->second.listing;
+  Listing row = wide->second;
   row.row.state = kDraining;
   one.changes({row});
   REQUIRE(one.engines.contains(row.row.id));
-  CHECK_EQ(one.engines.at(row.row.id).listing.row.state, kDraining);
+  CHECK_EQ(one.engines.at(row.row.id).row.state, kDraining);
   row.row.state = kGone;
   one.changes({row});
   CHECK_FALSE(one.engines.contains(row.row.id));
--- a/tests/view_cold_test.cpp
+++ b/tests/view_cold_test.cpp
@@ -76,12 +76,11 @@
     for (auto& row : event.rows) told |= row.row.id == cold.id && row.bornMs > 0;
     show(view->apply(event, now + off), kind);
   }
-  void show(const std::vector<view::Change>& changes, ListKind kind) {
+  void show(const std::vector<Listing>& changes, ListKind kind) {
     std::vector<NodeRow> rows;
     for (auto& change : changes) {
-      NodeRow& row = rows.emplace_back(change.listing.row);
-      row.place = change.place;
-      if (change.listing.bornMs > 0) row.startedAt = double(change.listing.bornMs) / 1000;
+      NodeRow& row = rows.emplace_back(change.row);
+      if (change.bornMs > 0) row.startedAt = double(change.bornMs) / 1000;
     }
     if (kind == ListKind::full || !rows.empty()) gateway->list(kind, rows);
   }
--- a/tests/view_scene.h
+++ b/tests/view_scene.h
@@ -55,15 +55,15 @@
 
 struct Dispatcher {
   View view;
-  std::map<uint32_t, Change> engines = {};  // in view, as told
+  std::map<uint32_t, Listing> engines = {};  // in view, as told
   uint64_t told = 0;
   Dispatcher(const Plan& plan, int dispatchers, int ordinal) : view(plan, settingsOf(dispatchers, ordinal)) {}
 
-  void take(const std::vector<Change>& changes) {
+  void take(const std::vector<Listing>& changes) {
     told += changes.size();
     for (auto& change : changes) {
-      uint32_t id = change.listing.row.id;
-      if (change.listing.row.state != kGone) engines.insert_or_assign(id, change);
+      uint32_t id = change.row.id;
+      if (change.row.state != kGone) engines.insert_or_assign(id, change);
       else if (engines.erase(id) == 0) throw std::logic_error("told as gone, and never told before");
     }
   }
@@ -86,7 +86,7 @@
   std::set<uint32_t> inService() const {
     std::set<uint32_t> ids;
     for (auto& [id, change] : engines)
-      if (change.listing.row.state == kIn) ids.insert(id);
+      if (change.row.state == kIn) ids.insert(id);
     return ids;
   }
 };
@@ -143,9 +143,10 @@
       if (place < base() && !in) return "missing:" + at;
       if (!in) continue;
       auto& told = is.engines.at(id);
-      if (told.place != (place < base() ? place : -1)) return "told with another place:" + at;
-      if (told.listing.address != one.address || told.listing.bornMs != one.bornMs ||
-          told.listing.row.zone != one.row.zone || told.listing.row.state != one.row.state)
+      if (told.row.place.value_or(-1) != (place < base() ? place : -1))
+        return "told with another place:" + at;
+      if (told.address != one.address || told.bornMs != one.bornMs || told.row.zone != one.row.zone ||
+          told.row.state != one.row.state)
         return "told otherwise than listed:" + at;
       if (place < base() || draining) continue;
       if (cold(one, now)) return "cold and out of the first:" + at;
@@ -167,8 +168,8 @@
     for (int which = 0; which < kClasses; ++which) {
       int usable = 0;
       for (auto& [id, told] : is.engines)
-        usable += told.listing.row.state == kIn && serves(which, told.listing) && !cold(list.at(id), now) &&
-                  !unfit.contains(id);
+        usable +=
+            told.row.state == kIn && serves(which, told) && !cold(list.at(id), now) && !unfit.contains(id);
       if (usable < std::min(needOf(which), usableBefore(which, boundOf(which), now)))
         return "too few of class " + std::to_string(which);
     }
