One reader of stand-ins' answers, one median of a figure, one outlet of tests that look at sends

Written twice each: how a stand-in client finds an answer's end and status (sockets.cpp, hollow_clients), the median at a size (scale_trial, members_scale; all sets are odd, so none changes), and six functions that do nothing (cold_test, view_cold_test). Assertions stay.

--- a/src/lab/figures_file.cpp
+++ b/src/lab/figures_file.cpp
@@ -39,6 +39,13 @@
 
 }  // namespace
 
+void Figure::take(double x, std::vector<double> all) {
+  repeats.push_back(all);
+  std::ranges::sort(all);
+  size_t n = all.size();
+  xs.push_back(x), ys.push_back((all[(n - 1) / 2] + all[n / 2]) / 2);
+}
+
 bool Figure::measuredAtTarget() const { return target && std::ranges::find(xs, *target) != xs.end(); }
 
 std::optional<double> Figure::atTarget() const {
--- a/src/lab/figures_file.h
+++ b/src/lab/figures_file.h
@@ -20,6 +20,7 @@
   std::optional<double> target{}, limit{};     // the size that is coming; what the figure may be there
   std::string note{};                          // conditions, or why nothing was taken
 
+  void take(double x, std::vector<double> all);  // the repeats at one size, greater than those before
   Fits fits() const { return fitsOf(xs, ys); }
   // At the target: as measured there, or else as the fit has it; nothing where neither tells.
   std::optional<double> atTarget() const;
--- a/src/lab/hollow_clients.cpp
+++ b/src/lab/hollow_clients.cpp
@@ -4,6 +4,7 @@
 
 #include "lab/hollow.h"
 #include "lab/hollow_loop.h"
+#include "lab/http_answer.h"
 #include "runtime/stream.h"
 
 namespace elmcleat::lab {
@@ -47,13 +48,8 @@
     else if (!put(line->fd, bytes)) close(line);
   };
   auto heard = [&](const Held& line) {
-    size_t head = line->in.find("\r\n\r\n");
-    if (head == std::string::npos) return;
-    size_t at = line->in.find("Content-Length: "), length = 0;
-    if (at < head) length = std::strtoull(line->in.c_str() + at + 16, nullptr, 10);
-    if (line->in.size() < head + 4 + length) return;
-    std::string status = line->in.substr(9, 3);
-    line->in.erase(0, head + 4 + length);
+    auto status = takeAnswer(line->in);
+    if (!status) return;
     if (!std::exchange(line->asked, false) || !line->in.empty()) {
       ++counts.wrong;
       return close(line);
@@ -64,11 +60,11 @@
       ++counts.checks, checks.push_back(line);
       return;
     }
-    if (status == "200") {
+    if (*status == "200") {
       ++counts.answered;
       double step = kLatencySteps * std::log10(std::max(took, 1e-5) / 1e-5);
       ++counts.latency[std::min(counts.latency.size() - 1, size_t(step))];
-    } else ++(status == "503" || status == "429" ? counts.shed : counts.failed);
+    } else ++(*status == "503" || *status == "429" ? counts.shed : counts.failed);
     free.push_back(line);
   };
   auto connect = [&](bool idle) {
--- a/src/lab/hollow_loop.h
+++ b/src/lab/hollow_loop.h
@@ -89,9 +89,8 @@
   }
   return false;
 }
-inline bool put(
-    int fd,
-    std::string_view bytes) {  // small writes: what does not go out at once is a fault of the other side
+// Small writes: what does not go out at once is a fault of the other side.
+inline bool put(int fd, std::string_view bytes) {
   return send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT) == ssize_t(bytes.size());
 }
 inline void promptly(int fd) {
--- a/src/lab/members_scale.cpp
+++ b/src/lab/members_scale.cpp
@@ -18,11 +18,6 @@
 constexpr double kAfter = 30;   // seconds of the end of a scene: all back, healed, no more restarts
 constexpr double kSettle = 10;  // and before its begin, once all agree
 
-double median(std::vector<double> all) {
-  std::ranges::sort(all);
-  return all[all.size() / 2];
-}
-
 // From its making to close(): one phase.
 class Meter {
  public:
@@ -219,7 +214,7 @@
           file.missing.push_back({figure.name, name, "no agreement within the part", double(size)});
           continue;
         }
-        figure.xs.push_back(size), figure.ys.push_back(median(all)), figure.repeats.push_back(all);
+        figure.take(size, std::move(all));
       }
       bool told = std::ranges::any_of(figure.ys, [](double one) { return one > 0; });
       if (told || column.of == &Phase::wrongDowns) file.figures.push_back(std::move(figure));
--- a/src/lab/scale_trial.cpp
+++ b/src/lab/scale_trial.cpp
@@ -73,13 +73,7 @@
   std::vector<Figure> figures;
   for (auto& taken : all_) {
     Figure& one = figures.emplace_back(taken.of);
-    for (auto& [x, repeats] : taken.values) {
-      auto sorted = repeats;
-      std::ranges::sort(sorted);
-      size_t n = sorted.size();
-      one.xs.push_back(x), one.ys.push_back((sorted[(n - 1) / 2] + sorted[n / 2]) / 2);
-      one.repeats.push_back(repeats);
-    }
+    for (auto& [x, repeats] : taken.values) one.take(x, repeats);
     if (auto at = plan.targets.find(one.xName); at != plan.targets.end()) one.target = at->second;
     if (auto at = plan.limits.find(one.name); at != plan.limits.end()) one.limit = at->second;
   }
--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -18,6 +18,7 @@
 #include <unordered_map>
 
 #include "lab/engine.h"
+#include "lab/http_answer.h"
 #include "runtime/scheduler.h"
 #include "runtime/stream.h"
 
@@ -384,20 +385,15 @@
     return client;
   }
   void answer(Client& client, std::string& bytes) {
-    size_t head = bytes.find("\r\n\r\n");
-    if (head == std::string::npos) return;
-    size_t at = bytes.find("Content-Length: "), length = 0;
-    if (at < head) length = std::strtoull(bytes.c_str() + at + 16, nullptr, 10);
-    if (bytes.size() < head + 4 + length) return;
-    std::string status = bytes.substr(9, 3);
-    bytes.erase(0, head + 4 + length);
+    auto status = takeAnswer(bytes);
+    if (!status) return;
     if (!client.command) return;
     uint64_t command = *client.command;
     client.command.reset();
     const Asked& asked = record_.asked[command];
-    Mark how = status == "200"                      ? Mark::answered
-               : status == "503" || status == "429" ? Mark::shed
-                                                    : Mark::failed;
+    Mark how = *status == "200"                       ? Mark::answered
+               : *status == "503" || *status == "429" ? Mark::shed
+                                                      : Mark::failed;
     mark(how, client.gate, command);
     const Profile& profile = scene_.settings.profiles[asked.profile];
     auto& second = record_.seconds[std::min(size_t(now()), record_.seconds.size() - 1)];
--- a/tests/cold_test.cpp
+++ b/tests/cold_test.cpp
@@ -9,6 +9,7 @@
 
 #include "pcg32.h"
 #include "policy.h"
+#include "quiet_outlet.h"
 
 using namespace elmcleat;
 
@@ -21,7 +22,7 @@
   double at, work;
 };
 
-struct Member final : Outlet {  // one gateway: its clock is off by as much as the protocol allows for
+struct Member final : QuietOutlet {  // one gateway: its clock is off by as much as the protocol allows for
   Member(const Settings& settings, uint64_t seed, double skew, std::vector<Landed>& landed)
       : off(skew), landed(landed), gateway(openGateway(settings, seed, *this)) {}
   void send(Command& command, uint32_t node, double, double) override {
@@ -29,14 +30,8 @@
     ends.push({now + (node == kCold ? 2.5 : 1) * work, &command});
     if (node == kCold) landed.push_back({now, work});
   }
-  void terms(Command&, int, double) override {}
-  void cancel(Command&, int) override {}
   void shed(Command& command, double) override { works.erase(&command); }
   void fail(Command& command) override { works.erase(&command); }
-  void probe(uint32_t) override {}
-  void followList() override {}
-  void wake(double) override {}
-  void log(const std::string&) override {}
 
   void step(double time, double arrivals, Pcg32& chance) {
     now = time;
--- /dev/null
+++ b/tests/quiet_outlet.h
@@ -0,0 +1,18 @@
+// An outlet for tests that look at sends alone: all else that a module wants is passed over.
+#pragma once
+#include <string>
+
+#include "policy.h"
+
+namespace elmcleat {
+
+struct QuietOutlet : Outlet {
+  void terms(Command&, int, double) override {}
+  void cancel(Command&, int) override {}
+  void probe(uint32_t) override {}
+  void followList() override {}
+  void wake(double) override {}
+  void log(const std::string&) override {}
+};
+
+}  // namespace elmcleat
--- a/tests/view_cold_test.cpp
+++ b/tests/view_cold_test.cpp
@@ -13,6 +13,7 @@
 
 #include "pcg32.h"
 #include "policy.h"
+#include "quiet_outlet.h"
 #include "seeds.h"
 #include "view/rank.h"
 #include "view/view.h"
@@ -59,7 +60,7 @@
   std::vector<Landed> landed = {};  // of those who had been told
 };
 
-struct Dispatcher final : Outlet {
+struct Dispatcher final : QuietOutlet {
   Dispatcher(int ordinal, int of, uint64_t chance, double skew, ColdEngine& engine)
       : number(ordinal), dispatchers(of), seed(chance), off(skew), cold(engine) {}
 
@@ -92,14 +93,8 @@
     ++cold.inHand, cold.landed.push_back({now, work});
     ends.push({cold.end(now, work), now, &command, true});
   }
-  void terms(Command&, int, double) override {}
-  void cancel(Command&, int) override {}
   void shed(Command& command, double) override { works.erase(&command); }
   void fail(Command& command) override { works.erase(&command); }
-  void probe(uint32_t) override {}
-  void followList() override {}
-  void wake(double) override {}
-  void log(const std::string&) override {}
   void rests(uint32_t node, bool is) override { view->rests(node, is); }
 
   void step(double time, double arrivals, double mean, Pcg32& chance) {
