--- a/review/src/late_repeat.cpp
+++ b/review/src/late_repeat.cpp
@@ -9,15 +9,15 @@
 namespace {
 
 constexpr int kEngines = 6;
-constexpr int kLoggers = 3;             // each with an ordering key of its own
-constexpr int kLoadsPerLogger = 5;      // of one key, written one after the other
-constexpr double kSpacingSeconds = 0.3; // between two loads of one key; the protocol: at least 60 ms
-constexpr double kRunSeconds = 3.95;    // of a load at its engine; wanted within 4 s plus 3 times its work over
-                                        // its two threads, 13.9 s
+constexpr int kLoggers = 3;              // each with an ordering key of its own
+constexpr int kLoadsPerLogger = 5;       // of one key, written one after the other
+constexpr double kSpacingSeconds = 0.3;  // between two loads of one key; the protocol: at least 60 ms
+constexpr double kRunSeconds = 3.95;  // of a load at its engine; wanted within 4 s plus 3 times its work over
+                                      // its two threads, 13.9 s
 constexpr double kWorkMs = 6600;
-constexpr double kMemorySeconds = 15;   // an engine drops a repeat for so long
-constexpr double kLeaveSeconds = 2.8;   // 0.7 of the latency target of 4 s
-constexpr int kWaitMs = 25000;          // the profile's client timeout, over all tries of a request
+constexpr double kMemorySeconds = 15;  // an engine drops a repeat for so long
+constexpr double kLeaveSeconds = 2.8;  // 0.7 of the latency target of 4 s
+constexpr int kWaitMs = 25000;         // the profile's client timeout, over all tries of a request
 
 }  // namespace
 
@@ -38,7 +38,8 @@
   engines.runTime = [&](const EngineRequest& request) {
     if (request.field("cls") != "logger-load")
       return 0.15;
-    return isKnown(request.field("nonce")) ? 0.02 : kRunSeconds;  // a repeat is dropped, with the answer of before
+    return isKnown(request.field("nonce")) ? 0.02
+                                           : kRunSeconds;  // a repeat is dropped, with the answer of before
   };
   engines.ended = [&](const EngineRequest& request) {
     if (request.field("cls") != "logger-load")
@@ -74,8 +75,8 @@
     std::snprintf(key, sizeof key, "7f3a9c21e0b4d6%02x", logger);
     command.more = "Req-Key: " + std::string(key) + "\r\nReq-Token: " + token +
                    "\r\nReq-Cost: " + std::to_string(kWorkMs) + "\r\nX-Ram: 200\r\n";
-    command.statement = "INSERT INTO readings_" + std::to_string(logger) + ".samples SELECT * FROM staging.batch" +
-                        std::to_string(number);
+    command.statement = "INSERT INTO readings_" + std::to_string(logger) +
+                        ".samples SELECT * FROM staging.batch" + std::to_string(number);
     return command;
   };
   // Sends on an open connection and waits for the answer, at most for so long; then leaves.
@@ -147,9 +148,10 @@
     for (auto& [token, times] : applied)
       ++(times > 1 ? twice : once);
   }
-  std::printf("loads of %d loggers: served %d, not served %d, left %d; applied once %d, applied twice %d, repeats "
-              "dropped %d\n",
-              kLoggers, served.load(), notServed.load(), left.load(), once, twice, repeatsDropped.load());
+  std::printf(
+      "loads of %d loggers: served %d, not served %d, left %d; applied once %d, applied twice %d, repeats "
+      "dropped %d\n",
+      kLoggers, served.load(), notServed.load(), left.load(), once, twice, repeatsDropped.load());
   if (served == 0 || dispatcher.hasEnded())
     cannotRun("nothing was served, or the dispatcher has ended");
   finish(twice > 0 ? 1 : 0);
--- a/review/src/spoilt_answer.cpp
+++ b/review/src/spoilt_answer.cpp
@@ -11,7 +11,7 @@
 constexpr int kClients = 4;
 constexpr double kRunSeconds = 20;
 constexpr int kSpoiltOneIn = 8;
-constexpr size_t kPageBytes = 6000;   // the protocol's limit of a page
+constexpr size_t kPageBytes = 6000;     // the protocol's limit of a page
 constexpr size_t kResultBytes = 16000;  // of the 48,000 allowed
 
 // The rows of a result: fixed by the statement, so that a client can tell whether it has all of them.
@@ -122,10 +122,10 @@
     });
   for (auto& client : clients)
     client.join();
-  std::printf("sent %d: served %d, refused %d, failed %d, no answer %d, told served with a part of the rows %d; "
-              "answers of engines spoilt %d\n",
-              sent.load(), served.load(), refused.load(), failed.load(), none.load(), wrong.load(),
-              spoilt.load());
+  std::printf(
+      "sent %d: served %d, refused %d, failed %d, no answer %d, told served with a part of the rows %d; "
+      "answers of engines spoilt %d\n",
+      sent.load(), served.load(), refused.load(), failed.load(), none.load(), wrong.load(), spoilt.load());
   if (served == 0 || dispatcher.hasEnded())
     cannotRun("nothing was served, or the dispatcher has ended");
   finish(wrong > 0 || none > 0 ? 1 : 0);
--- a/review/src/standins.h
+++ b/review/src/standins.h
@@ -162,9 +162,9 @@
 // --- engines
 struct EngineConnection {
   int fd = -1;
-  std::mutex mutex;                 // of writes, `open` and `live`
+  std::mutex mutex;  // of writes, `open` and `live`
   bool open = true;
-  std::set<std::string> live;       // ids that run here or hold pages here
+  std::set<std::string> live;  // ids that run here or hold pages here
   bool write(const std::string& bytes) {
     std::lock_guard lock(mutex);
     return open && sendAll(fd, bytes);
@@ -305,8 +305,8 @@
       return;
     ended(request);
     auto result = pages(request);
-    std::string line = request.id + " HIT fetches=" + std::to_string(result.size()) + " " +
-                       std::to_string(result[0].size());
+    std::string line =
+        request.id + " HIT fetches=" + std::to_string(result.size()) + " " + std::to_string(result[0].size());
     std::string sound = line;
     if (spoil)
       spoil(request, line);
