--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run_case.sh" "$(dirname "$0")" spoilt_answer
+exec sh "$(dirname "$0")/../run_case.sh" "$(dirname "$0")" spoilt_answer
