A response without a field that its kind requires is refused as malformed

Cause: `parseField` skips a field of unknown name, `parseLine` never checked that an answer has its page count, and `EngineResponse::pageCount` was 1 where none was given (src/protocol/engine_protocol.cpp and .h). So `ResultAssembler::addFirstPage` saw a result of one page, `Engine::handlePage` asked for no other, and the answer was whole HTTP. Ruled out: the assembler (it holds to the count that it is given; a page that is missing ends the connection), the rows (each page is checked), and retries (the spoilt answer itself was served; its send ended as `answered`).

The same cause in other lines of the protocol: - PART without its number counted as page 0, that is as a second copy: the result waited for 0.25 s until its connection was closed as cut short. It is malformed now. - INFO with a topic and no value reported the value 0. A half note is skipped now. Read and free of it: the fields of HTTP requests (those required are checked), frames of the change log (of fixed length), messages of members (checksum). `health` in the configuration counts as `in_service` where it is absent; that file comes whole or not at all, and it stays as it is.

Change: the defaults are gone; a HIT must have `fetches`, a PART `fetch_no`, as the protocol page words them. It works as nothing is left that a missing count could be taken for: the connection is closed as after any other malformed line, and the module decides whether the command may be sent again.

Tests, which failed before (8 lines and 4 notes of the parser; in the service the client got the first page): `an engine response without a field that its kind requires is malformed`, `a status message with a topic but no value ...`, `an answer with a damaged page count, or a damaged page number, is not served with fewer rows`. Older tests of malformed lines had a HIT without `fetches` as their frame, and would now be refused for that alone; they have `fetches=1`, so each still tests what it names. A transcript shows 0 in place of 1 as the page count of responses that have none.

--- a/src/protocol/engine_protocol.cpp
+++ b/src/protocol/engine_protocol.cpp
@@ -86,7 +86,7 @@
     return true;
   }
   if (name == "figure")
-    return parseMeasurement(value, response.topicValue);
+    return parseMeasurement(value, response.topicValue.emplace());
   if (name != "effort" && name != "high")
     return true;  // unknown fields are skipped
   if (!parseMeasurement(value, measurement))
@@ -99,6 +99,19 @@
   return true;
 }
 
+// Whether the fields are there without which a response of its kind can't be used. One whose name was damaged on
+// the way has been skipped as unknown: no default may take its place.
+bool hasRequiredFields(const EngineResponse& response) {
+  switch (response.kind) {
+    case ResponseKind::answered:
+      return response.pageCount > 0;
+    case ResponseKind::page:
+      return response.pageNumber > 0;
+    default:
+      return true;
+  }
+}
+
 }  // namespace
 
 EngineResponseParser::State EngineResponseParser::next(std::string& bytes, EngineResponse& response) {
@@ -133,14 +146,16 @@
   response_.id = id;
   response_.kind = *kind;
   if (fields == "-")
-    return State::complete;
+    fields = {};
   while (!fields.empty()) {
     std::string_view value = takeUntil(fields, ',');
     std::string_view name = takeUntil(value, '=');
     if (name.empty() || !parseField(name, value, response_))
       return State::malformed;
   }
-  return State::complete;
+  if (!response_.topicValue)
+    response_.topic.reset();  // a topic alone reports nothing
+  return hasRequiredFields(response_) ? State::complete : State::malformed;
 }
 
 namespace engine_request {
--- a/src/protocol/engine_protocol.h
+++ b/src/protocol/engine_protocol.h
@@ -27,10 +27,10 @@
 struct EngineResponse {
   std::string id;
   ResponseKind kind = ResponseKind::answered;
-  int pageCount = 1;   // with `answered`: how many pages the result has in all
-  int pageNumber = 0;  // with `page`: the number of this page
-  std::optional<StatusTopic> topic;
-  double topicValue = 0;
+  int pageCount = 0;                 // with `answered`: how many pages the result has in all, at least 1
+  int pageNumber = 0;                // with `page`: the number of this page, at least 1
+  std::optional<StatusTopic> topic;  // with `status`: what `topicValue` is about; none if nothing is reported
+  std::optional<double> topicValue;
   std::optional<LoadReport> loadReport;
   std::optional<ResourceUsage> usage;
   std::string body;
--- a/src/serve/engine.cpp
+++ b/src/serve/engine.cpp
@@ -491,7 +491,7 @@
   switch (response.kind) {
     case ResponseKind::status:
       if (response.topic)
-        dispatcher_.statusReported(send.context, *response.topic, response.topicValue);
+        dispatcher_.statusReported(send.context, *response.topic, *response.topicValue);
       return;
     case ResponseKind::answered:
     case ResponseKind::page:
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -77,7 +77,7 @@
                     " [" + response.body + "]";
       if (response.topic)
         transcript +=
-            " status " + std::to_string(int(*response.topic)) + "=" + std::to_string(response.topicValue);
+            " status " + std::to_string(int(*response.topic)) + "=" + std::to_string(*response.topicValue);
       if (response.loadReport)
         transcript += " in flight " + std::to_string(response.loadReport->inFlight.value_or(-1));
       if (response.usage)
@@ -208,19 +208,36 @@
       engineFeed,
       "9b1f HIT fetches=2 8\r\na\tb\tc\n\r\n\r\np1 PONG meter=inflight:7;queue:0.5 0\r\n\r\n"
       "9b1f INFO tell=queued,figure=2,odd=1 0\r\n\r\n9b1f PART fetch_no=1,effort=1500,high=64 0\r\n\r\n",
-      "9b1f 0 pages 2 page 0 [a\tb\tc\n\r\n];p1 6 pages 1 page 0 [] in flight 7.000000;"
-      "9b1f 4 pages 1 page 0 [] status 2=2.000000;9b1f 5 pages 1 page 1 [] work 1.500000;");
+      "9b1f 0 pages 2 page 0 [a\tb\tc\n\r\n];p1 6 pages 0 page 0 [] in flight 7.000000;"
+      "9b1f 4 pages 0 page 0 [] status 2=2.000000;9b1f 5 pages 0 page 1 [] work 1.500000;");
 }
 
 TEST_CASE("malformed engine responses") {
-  for (auto text : {"x HIT - \r\n", "x HIT - -1\r\n", "x HIT - 1x\r\n", "x HIT -\r\n", "x\r\n",
-                    " HIT - 0\r\n", "x ODD - 0\r\n", "x HIT fetches=0 0\r\n", "x HIT fetches=a 0\r\n",
-                    "x PART fetch_no=-1 0\r\n", "x INFO figure=nan 0\r\n", "x HIT - 48001\r\n",
-                    "x HIT - 2\r\nabcd", "x HIT =1 0\r\n", "x PONG meter=inflight 0\r\n"})
+  for (auto text : {"x HIT fetches=1 \r\n", "x HIT fetches=1 -1\r\n", "x HIT fetches=1 1x\r\n",
+                    "x HIT fetches=1\r\n", "x\r\n", " HIT fetches=1 0\r\n", "x ODD fetches=1 0\r\n",
+                    "x HIT fetches=0 0\r\n", "x HIT fetches=a 0\r\n", "x PART fetch_no=-1 0\r\n",
+                    "x INFO figure=nan 0\r\n", "x HIT fetches=1 48001\r\n", "x HIT fetches=1 2\r\nabcd",
+                    "x HIT fetches=1,=1 0\r\n", "x PONG meter=inflight 0\r\n"})
     CHECK_MESSAGE(parseAtOnce(engineFeed, text) == "bad", text);
   CHECK_EQ(parseAtOnce(engineFeed, std::string(EngineResponseParser::kMaxLineBytes + 1, 'x')), "bad");
 }
 
+// Guards against a result that is served with its first page alone, because its page count was damaged on the way.
+TEST_CASE("an engine response without a field that its kind requires is malformed") {
+  for (auto text : {"x HIT - 6\r\na\tb\tc\n\r\n", "x HIT fgtches=3 6\r\na\tb\tc\n\r\n",
+                    "x HIT fetches:3 6\r\na\tb\tc\n\r\n", "x HIT effort=820 6\r\na\tb\tc\n\r\n",
+                    "x HIT fetch_no=1 6\r\na\tb\tc\n\r\n", "x PART - 6\r\na\tb\tc\n\r\n",
+                    "x PART fetch_nn=1 6\r\na\tb\tc\n\r\n", "x PART fetches=2 6\r\na\tb\tc\n\r\n"})
+    CHECK_MESSAGE(parseAtOnce(engineFeed, text) == "bad", text);
+}
+
+// Guards against a status message that is passed on with a value that the engine did not send.
+TEST_CASE("a status message with a topic but no value, or a value but no topic, carries nothing") {
+  for (auto fields : {"tell=pct", "tell=pct,fjgure=0.5", "figure=0.5", "tdll=pct,figure=0.5"})
+    CHECK_EQ(parseAtOnce(engineFeed, std::string("x INFO ") + fields + " 0\r\n\r\n"),
+             "x 4 pages 0 page 0 [];");
+}
+
 TEST_CASE("engine requests") {
   CHECK_EQ(engine_request::send({"9b1f", "report", "", "SELECT", 1.4995, std::nullopt}),
            "GET 9b1f cls=report,limit=1500 6\r\nSELECT\r\n");
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -390,8 +390,8 @@
   auto client = fixture.service.client();
   int id = 0;
   for (auto malformed :
-       {"garbled\r\n", "%s HIT effort=-1 0\r\n\r\n", "ffff HIT - 99999\r\n", "%s PART fetch_no=1 0\r\n\r\n",
-        "%s HIT fetches=1 2\r\nab\r\n", "%s PONG - 0\r\n\r\n"}) {
+       {"garbled\r\n", "%s HIT fetches=1,effort=-1 0\r\n\r\n", "ffff HIT fetches=1 99999\r\n",
+        "%s PART fetch_no=1 0\r\n\r\n", "%s HIT fetches=1 2\r\nab\r\n", "%s PONG - 0\r\n\r\n"}) {
     ++id;
     client->write(post(id, "quick", 6000, "", "SELECT 1 FROM sales_" + std::to_string(id) + ".t"));
     EngineRequestLine send = fixture.engines.next();
@@ -406,6 +406,34 @@
   CHECK_NE(fixture.service.log().find("connection ended: garbled"), std::string::npos);
 }
 
+// Guards against a client that is told 'served' with a part of its rows.
+TEST_CASE("an answer with a damaged page count, or a damaged page number, is not served with fewer rows") {
+  ServiceFixture fixture;
+  auto client = fixture.service.client();
+  const std::string firstPage = "a\tb\tc\n", goodFirst = " HIT fetches=2 6\r\n" + firstPage + "\r\n";
+  int id = 0;
+  for (auto& damaged : {" HIT fgtches=2 6\r\n" + firstPage, " HIT - 6\r\n" + firstPage,
+                        goodFirst + "%s PART fetch_nn=1 6\r\nd\te\tf\n"}) {
+    ++id;
+    client->write(post(id, "quick", 6000, "", "SELECT 1 FROM sales_" + std::to_string(id) + ".t"));
+    EngineRequestLine send = fixture.engines.next();
+    std::string text = send.id + damaged + "\r\n";
+    if (size_t place = text.find("%s"); place != std::string::npos)
+      text.replace(place, 2, send.id);
+    send.from->write(text);
+    CHECK(send.from->ended());
+    EngineRequestLine further = fixture.engines.next();
+    CHECK_EQ(further.id, send.id);
+    further.answer("HIT", "fetches=2", firstPage);
+    CHECK_EQ(fixture.engines.next().verb, "PAGE");
+    further.answer("PART", "fetch_no=1", "d\te\tf\n");
+    CHECK_EQ(fixture.engines.next().verb, "CLOSE");
+    CHECK_MESSAGE(answer(*client) == R"(200 {"records":[["a","b","c"],["d","e","f"]]})", damaged);
+  }
+  CHECK(fixture.service.logs("connection ended: garbled"));
+  CHECK_EQ(fixture.service.log().find("cut short"), std::string::npos);  // refused at once, not after a wait
+}
+
 TEST_CASE("a valid response is used in spite of duplicates and unmatched responses beside it") {
   ServiceFixture fixture(1);
   auto client = fixture.service.client();
