A list of fields that ends in a separator, or has a field without =, is malformed

Seen: with every byte of an answer's line replaced by every other value (three lines, some 31,000 damaged ones), two were read as an answer with another page count although no digit had become another digit: `HIT fetches=12 6` and the same with fields in front, where the last digit became a comma.

Cause: `parseLine` cut off what stands before a comma and went on while something was left (src/protocol/engine_protocol.cpp, `takeUntil` in the loop over fields): an empty last element was never seen. A field with no equals sign had an empty value and, if its name was unknown, was skipped. `parseLoadReport` had the same loop.

Change: one walk over a list (`forEachElement`) that sees empty elements too; a field is `name=value`, as the protocol page words it. `-`, and an empty report, are read as before.

Tests, which failed before (2 lines of the first, 4 of the second): `whatever one byte of an answer's line becomes, only another digit changes its page count`, `a list of fields, or of a load report, that is not worded as one is malformed`.

--- a/src/protocol/engine_protocol.cpp
+++ b/src/protocol/engine_protocol.cpp
@@ -23,6 +23,19 @@
   return part;
 }
 
+// Calls `useElement` with each element of a list, also with empty ones; false as soon as that returns false.
+template <typename UseElement>
+bool forEachElement(std::string_view list, char separator, UseElement useElement) {
+  while (true) {
+    size_t end = std::min(list.find(separator), list.size());
+    if (!useElement(list.substr(0, end)))
+      return false;
+    if (end == list.size())
+      return true;
+    list.remove_prefix(end + 1);
+  }
+}
+
 // Upper bound of any measurement that an engine reports. A larger or a negative value can only come from a
 // damaged response, and the policy would base its decisions on it.
 constexpr double kMaxMeasurement = 1e9;
@@ -32,8 +45,9 @@
 }
 
 bool parseLoadReport(std::string_view text, LoadReport& report) {
-  while (!text.empty()) {
-    std::string_view value = takeUntil(text, ';');
+  if (text.empty())
+    return true;
+  return forEachElement(text, ';', [&](std::string_view value) {
     std::string_view name = takeUntil(value, ':');
     double measurement = 0;
     if (!parseMeasurement(value, measurement))
@@ -48,8 +62,8 @@
       report.memoryGranted = measurement;
     else if (name == "x1")
       report.diskUtilisation = measurement;
-  }
-  return true;
+    return true;
+  });
 }
 
 std::optional<StatusTopic> parseStatusTopic(std::string_view name) {
@@ -99,6 +113,16 @@
   return true;
 }
 
+// Parses `name=value,...`.
+bool parseFields(std::string_view fields, EngineResponse& response) {
+  return forEachElement(fields, ',', [&](std::string_view value) {
+    if (value.find('=') == std::string_view::npos)
+      return false;
+    std::string_view name = takeUntil(value, '=');
+    return !name.empty() && parseField(name, value, response);
+  });
+}
+
 // Whether the fields are there without which a response of its kind can't be used. One whose name was damaged on
 // the way has been skipped as unknown: no default may take its place.
 bool hasRequiredFields(const EngineResponse& response) {
@@ -145,14 +169,8 @@
     return State::malformed;
   response_.id = id;
   response_.kind = *kind;
-  if (fields == "-")
-    fields = {};
-  while (!fields.empty()) {
-    std::string_view value = takeUntil(fields, ',');
-    std::string_view name = takeUntil(value, '=');
-    if (name.empty() || !parseField(name, value, response_))
-      return State::malformed;
-  }
+  if (fields != "-" && !parseFields(fields, response_))
+    return State::malformed;
   if (!response_.topicValue)
     response_.topic.reset();  // a topic alone reports nothing
   return hasRequiredFields(response_) ? State::complete : State::malformed;
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -231,6 +231,35 @@
     CHECK_MESSAGE(parseAtOnce(engineFeed, text) == "bad", text);
 }
 
+// Guards against noise that cuts a page count short: `fetches=12` that arrives as `fetches=1,`.
+TEST_CASE("whatever one byte of an answer's line becomes, only another digit changes its page count") {
+  const std::string page = "a\tb\tc\n";
+  for (std::string line :
+       {"x HIT fetches=12 6\r\n", "x HIT effort=820,meter=inflight:7;util:0.61,fetches=12 6\r\n",
+        "x HIT fetches=12,effort=820,meter=inflight:7;util:0.61 6\r\n"})
+    for (size_t place = line.find("HIT"); place < line.find("\r\n"); ++place)
+      for (int value = 0; value < 256; ++value) {
+        std::string damaged = line;
+        damaged[place] = char(value);
+        auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+        if (isDigit(damaged[place]) && isDigit(line[place]))
+          continue;  // nobody can tell
+        std::string transcript = parseAtOnce(engineFeed, damaged + page + "\r\n");
+        bool refused = transcript == "bad" || transcript.empty();  // empty: the line has no end
+        bool unharmed = transcript.starts_with("x 0 pages 12 page 0 [" + page + "]");
+        CHECK_MESSAGE((refused || unharmed),
+                      line << "byte " << place << " as " << value << ": " << transcript);
+      }
+}
+
+// Guards against a list that lost its end, or the sign between a name and its value, and is taken for a whole one.
+TEST_CASE("a list of fields, or of a load report, that is not worded as one is malformed") {
+  for (auto fields :
+       {"fetches=1,", ",fetches=1", "fetches=1,,effort=2", "fetches=1,odd", "fetches=1,-",
+        "fetches=1,meter=inflight:7;", "fetches=1,meter=;inflight:7", "fetches=1,meter=inflight:7;odd"})
+    CHECK_MESSAGE(parseAtOnce(engineFeed, std::string("x HIT ") + fields + " 0\r\n\r\n") == "bad", fields);
+}
+
 // Guards against a status message that is passed on with a value that the engine did not send.
 TEST_CASE("a status message with a topic but no value, or a value but no topic, carries nothing") {
   for (auto fields : {"tell=pct", "tell=pct,fjgure=0.5", "figure=0.5", "tdll=pct,figure=0.5"})
