--- a/src/protocol/engine_protocol.cpp
+++ b/src/protocol/engine_protocol.cpp
@@ -87,8 +87,12 @@
   return std::nullopt;
 }
 
+ResourceUsage& usageOf(EngineResponse& response) {
+  return response.usage ? *response.usage : response.usage.emplace();
+}
+
+// False if the value can't be what the name says. Unknown fields are skipped.
 bool parseField(std::string_view name, std::string_view value, EngineResponse& response) {
-  double measurement = 0;
   if (name == "fetches")
     return parseNumber(value, response.pageCount) && response.pageCount > 0;
   if (name == "fetch_no")
@@ -101,19 +105,19 @@
   }
   if (name == "figure")
     return parseMeasurement(value, response.topicValue.emplace());
-  if (name != "effort" && name != "high")
-    return true;  // unknown fields are skipped
-  if (!parseMeasurement(value, measurement))
-    return false;
-  if (!response.usage)
-    response.usage.emplace();
-  // `effort` is in milliseconds, the work in seconds; `high` is the peak of memory in MB.
-  (name == "effort" ? response.usage->work : response.usage->memoryMb) =
-      name == "effort" ? measurement / 1e3 : measurement;
+  if (name == "effort") {
+    double milliseconds = 0;
+    if (!parseMeasurement(value, milliseconds))
+      return false;
+    usageOf(response).work = milliseconds / 1e3;
+    return true;
+  }
+  if (name == "high")
+    return parseMeasurement(value, usageOf(response).memoryMb);
   return true;
 }
 
-// Parses `name=value,...`.
+// Parses fields as they stand in a line: `name=value,...`.
 bool parseFields(std::string_view fields, EngineResponse& response) {
   return forEachElement(fields, ',', [&](std::string_view value) {
     if (value.find('=') == std::string_view::npos)
--- a/src/protocol/engine_protocol.h
+++ b/src/protocol/engine_protocol.h
@@ -1,6 +1,7 @@
 // The line protocol spoken with engines: requests are formatted as text, responses are parsed incrementally.
 // Performs no I/O. Every line ends with CR LF. A response is the line `ID WORD FIELDS LENGTH`, where FIELDS
-// is `-` or `name=value,...`, followed by LENGTH bytes of body and CR LF.
+// is `-` or `name=value,...`, followed by LENGTH bytes of body and CR LF. An answer has to have the field `fetches`,
+// a page `fetch_no`; all other fields may be absent.
 #pragma once
 #include <cstddef>
 #include <optional>
