Review: a slow change log is never heard, and a draining engine gets commands (case 9)

The change log answers a follower 3 s after its request. The gateway ends each connection after 2.5 s and asks anew, never learns that an engine drains, and sends it commands more than 7.55 s after the event, until the case ends.

--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -285,6 +285,10 @@
     thread_.join();
     close(fd_);
   }
+  // Seconds from a follower's request to the first frame that it is sent: 0, or more where the log is slow.
+  std::atomic<double> slowness{0};
+  // Called when a follower has asked, or has ended its connection.
+  std::function<void(const std::string&)> onFollower = [](const std::string&) {};
   // Adds an event: changes of one engine. State: 0 in service, 1 draining, 2 gone.
   void change(uint32_t id, const sockaddr_in& engine, int state, uint64_t startedMs = 0) {
     std::lock_guard lock(mutex_);
@@ -302,17 +306,19 @@
     std::string in;
     uint64_t last = 0;  // number of the last event that it has
     bool asked = false;
+    double servedAt = 0;
     double beatAt = 0;
   };
   void run() {
     std::list<Follower> followers;
     while (!stopped_) {
       for (int fd; (fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC)) >= 0;)
-        followers.push_back({fd, "", 0, false, 0});
+        followers.push_back({fd, "", 0, false, 0, 0});
       for (auto follower = followers.begin(); follower != followers.end();) {
         if (serve(*follower)) {
           ++follower;
         } else {
+          onFollower("has ended its connection");
           close(follower->fd);
           follower = followers.erase(follower);
         }
@@ -331,10 +337,12 @@
       follower.in.append(buffer, size_t(received));
     if (!follower.asked && follower.in.size() >= 8) {
       follower.asked = true;
+      follower.servedAt = now() + slowness;
+      onFollower("asks");
       for (int i = 0; i < 8; ++i)
         follower.last = follower.last << 8 | static_cast<unsigned char>(follower.in[size_t(i)]);
     }
-    if (!follower.asked)
+    if (!follower.asked || now() < follower.servedAt)
       return true;
     std::string out;
     {
@@ -372,9 +380,8 @@
           const std::string& site = "room-a", const std::string& kind = "k16")
       : name_(name), listen(loopback()) {
     close(listenOn(listen));  // a port that is free at that address
-    char folder[] = "/tmp/elmcleat-review-XXXXXX";
-    need(mkdtemp(folder) != nullptr, "mkdtemp");
-    folder_ = folder;
+    folder_ = std::filesystem::temp_directory_path() / "elmcleat-review-XXXXXX";
+    need(mkdtemp(folder_.data()) != nullptr, "mkdtemp");
     std::string hosts;
     for (int i = 0; i < engines.count(); ++i) {
       char id[16];
